--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ColdBudget.kt
@@ -0,0 +1,51 @@
+/*
+ * Bounds what one entry VM sends to one cold backend server. The server's bound holds for all entry VMs together, so
+ * each takes an equal part; where the parts would fall under one request a second, only some of the VMs send at all.
+ */
+package org.ragwortlever.core.backend
+
+import org.ragwortlever.core.membership.rendezvousWeight
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** The cold requests of the entry VM [node]; not thread-safe. */
+class ColdBudget(
+    private val node: String,
+) {
+    private val lastSendByServer = HashMap<String, Instant>()
+
+    /** Whether one more request to the cold server [id] keeps the bound of [perSecond] shared by [nodes]. */
+    fun allows(
+        id: String,
+        perSecond: Double,
+        nodes: Set<String>,
+        now: Instant,
+    ): Boolean {
+        val senders = senders(id, perSecond, nodes)
+        if (senders == 0 || !isSender(id, senders, nodes)) return false
+        val interval = 1.seconds * (senders / perSecond)
+        return now >= (lastSendByServer[id] ?: Instant.DISTANT_PAST) + interval
+    }
+
+    fun sent(
+        id: String,
+        now: Instant,
+    ) {
+        lastSendByServer[id] = now
+    }
+
+    private fun senders(
+        id: String,
+        perSecond: Double,
+        nodes: Set<String>,
+    ): Int = minOf(maxOf(1, nodes.size), maxOf(1, perSecond.toInt())).takeIf { id.isNotEmpty() && perSecond > 0 } ?: 0
+
+    private fun isSender(
+        id: String,
+        senders: Int,
+        nodes: Set<String>,
+    ): Boolean {
+        if (nodes.size <= senders) return true
+        return node in nodes.sortedByDescending { rendezvousWeight(id, it) }.take(senders)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
@@ -0,0 +1,67 @@
+// What this node knows of one backend server: its own requests there, its health and the prompt parts that it sent.
+package org.ragwortlever.core.dispatch
+
+import org.ragwortlever.core.backend.KnownServer
+import org.ragwortlever.core.backend.ServerHealth
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** A request that runs on a server. [uncachedTokens] is what the server was expected to have to read of its prompt. */
+internal class RunningAttempt(
+    val request: RoutedRequest,
+    val server: ServerState,
+    val startedAt: Instant,
+    val uncachedTokens: Int,
+    val number: Int,
+) {
+    var firstByteAt: Instant? = null
+}
+
+internal class ServerState(
+    var known: KnownServer,
+) {
+    val health = ServerHealth()
+    val running = LinkedHashMap<Long, RunningAttempt>()
+    private val partsSentAt = LinkedHashMap<String, Instant>()
+
+    val id: String get() = known.server.id
+    val zone: String get() = known.server.zone
+
+    /** Prompt tokens of this node's requests that the server has probably not read yet. */
+    val unreadTokens: Int get() = running.values.sumOf { if (it.firstByteAt == null) it.uncachedTokens else 0 }
+
+    /** Tokens that this node's requests may occupy in the server's memory. */
+    val occupiedTokens: Int get() = running.values.sumOf { it.request.promptTokens + it.request.outputTokens }
+
+    fun isCold(now: Instant): Boolean = now < known.coldUntil
+
+    /** Tokens of [parts] that the server has to read: those from the first part on that was not sent to it lately. */
+    fun uncachedTokens(
+        parts: List<PromptPart>,
+        now: Instant,
+    ): Int {
+        val cached = parts.takeWhile { part -> partsSentAt[part.id]?.let { now - it < PART_LIFETIME } ?: false }
+        return parts.drop(cached.size).sumOf { it.tokens }
+    }
+
+    fun sent(
+        parts: List<PromptPart>,
+        now: Instant,
+    ) {
+        parts.forEach {
+            partsSentAt.remove(it.id)
+            partsSentAt[it.id] = now
+        }
+        while (partsSentAt.size > REMEMBERED_PARTS) partsSentAt.remove(partsSentAt.keys.first())
+    }
+
+    /** The server's process is a new one: it holds nothing of before. */
+    fun restarted() = partsSentAt.clear()
+
+    private companion object {
+        // Engines drop the least recently used parts; under load a part that is not used survives a few tens of seconds.
+        val PART_LIFETIME: Duration = 30.seconds
+        const val REMEMBERED_PARTS = 1000
+    }
+}
--- a/core/src/main/kotlin/org/ragwortlever/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/error/ErrorKind.kt
@@ -23,6 +23,7 @@
     BACKEND_SERVER_FAILED("backend-server-failed"),
     BACKEND_SERVER_SILENT("backend-server-silent"),
     REQUEST_CRASHES_SERVERS("request-crashes-servers"),
+    REQUEST_QUARANTINED("request-quarantined"),
     CLAIM_UNAVAILABLE("claim-unavailable"),
     OUTCOME_UNKNOWN("outcome-unknown"),
     IDEMPOTENCY_KEY_REUSED("idempotency-key-reused"),
@@ -32,6 +33,7 @@
     REVISION_CONFLICT("revision-conflict"),
     INVALID_CONFIGURATION("invalid-configuration"),
     STOPPING("stopping"),
+    CALLER_GONE("caller-gone"),
     INTERNAL("internal"),
 }
 
@@ -59,6 +61,7 @@
         ErrorKind.BACKEND_SERVER_FAILED -> ErrorAnswer(502, "The backend server failed")
         ErrorKind.BACKEND_SERVER_SILENT -> ErrorAnswer(504, "The backend server stopped answering")
         ErrorKind.REQUEST_CRASHES_SERVERS -> ErrorAnswer(422, "This request has crashed backend servers and is no longer run")
+        ErrorKind.REQUEST_QUARANTINED -> ErrorAnswer(503, "Equal requests have crashed backend servers; it is not run for now")
         ErrorKind.CLAIM_UNAVAILABLE -> ErrorAnswer(503, "The call could not be claimed and was not sent")
         ErrorKind.OUTCOME_UNKNOWN -> ErrorAnswer(502, "The call may have run; its outcome is unknown")
         ErrorKind.IDEMPOTENCY_KEY_REUSED -> ErrorAnswer(422, "The idempotency key belongs to a different request")
@@ -68,5 +71,6 @@
         ErrorKind.REVISION_CONFLICT -> ErrorAnswer(409, "The section has a newer revision")
         ErrorKind.INVALID_CONFIGURATION -> ErrorAnswer(422, "The configuration breaks a rule")
         ErrorKind.STOPPING -> ErrorAnswer(503, "This entry VM is stopping")
+        ErrorKind.CALLER_GONE -> ErrorAnswer(499, "The caller closed its connection before the answer")
         ErrorKind.INTERNAL -> ErrorAnswer(500, "The entry VM failed")
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -0,0 +1,97 @@
+/*
+ * How many backend servers of a service should run in each availability zone, and of which kind. Servers follow the
+ * load with room for its bursts, since a new one takes seconds to start. Spot servers are preferred for their price;
+ * ordinary ones take over in a zone where no spot server is to be had, and they leave only once spot servers serve.
+ */
+package org.ragwortlever.core.scaling
+
+import org.ragwortlever.core.fleet.ServiceLoad
+import org.ragwortlever.core.route.ScalingRange
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Servers of one zone, as wanted or as running. */
+data class ZoneServers(
+    val ordinary: Int,
+    val spot: Int,
+) {
+    val total: Int get() = ordinary + spot
+}
+
+/** The scaling of one service; not thread-safe. */
+class ScalingPolicy {
+    private var peak = 0
+    private var peakAt = Instant.DISTANT_PAST
+    private val spotRefusedAt = HashMap<String, Instant>()
+
+    /** The platform has no spot server for [zone] at the moment, or takes those away that run there. */
+    fun spotUnavailable(
+        zone: String,
+        now: Instant,
+    ) {
+        spotRefusedAt[zone] = now
+    }
+
+    /**
+     * The servers to order in each zone of [zones]; zones that are taken out are left as they are.
+     *
+     * @param running servers that take requests.
+     */
+    fun desired(
+        range: ScalingRange,
+        load: ServiceLoad,
+        zones: List<String>,
+        running: Map<String, ZoneServers>,
+        now: Instant,
+    ): Map<String, ZoneServers> {
+        val total = heldPeak(needed(load), now).coerceIn(zones.size * floor(range), zones.size * range.maximum)
+        val cheapestFirst = zones.sortedBy { range.zonePrices[it] ?: 1.0 }
+        return cheapestFirst.withIndex().associate { (rank, zone) ->
+            val share = total / zones.size + if (rank < total % zones.size) 1 else 0
+            zone to kinds(range, zone, share.coerceIn(floor(range), range.maximum), running[zone] ?: ZoneServers(0, 0), now)
+        }
+    }
+
+    private fun kinds(
+        range: ScalingRange,
+        zone: String,
+        count: Int,
+        running: ZoneServers,
+        now: Instant,
+    ): ZoneServers {
+        val spotRefused = now < (spotRefusedAt[zone] ?: Instant.DISTANT_PAST) + SPOT_PAUSE
+        if (range.spotPrice == null || spotRefused) return ZoneServers(count, 0)
+        // Ordinary servers stay until spot servers have taken their place.
+        val ordinary = (count - running.spot).coerceIn(0, maxOf(0, running.ordinary))
+        return ZoneServers(minOf(ordinary, range.maximum - count).coerceAtLeast(0), count)
+    }
+
+    private fun needed(load: ServiceLoad): Int = ceil(load.readSeconds / READ_SECONDS_PER_SERVER + load.running / RUNNING_PER_SERVER).toInt()
+
+    /** The highest need of the last while: bursts come back, and a server that leaves takes its cached prompts with it. */
+    private fun heldPeak(
+        need: Int,
+        now: Instant,
+    ): Int {
+        if (need >= peak || now - peakAt > PEAK_TIME) {
+            peak = need
+            peakAt = now
+        }
+        return peak
+    }
+
+    /** Two servers in a zone bear the loss of one. */
+    private fun floor(range: ScalingRange): Int = minOf(range.maximum, maxOf(range.minimum, 2))
+
+    private companion object {
+        // Reading a prompt holds up every answer on the same server, so a server is full long before it always reads.
+        const val READ_SECONDS_PER_SERVER = 0.2
+        const val RUNNING_PER_SERVER = 16.0
+        val PEAK_TIME: Duration = 12.seconds
+
+        // A reclaim lasts several seconds; asking earlier is refused again.
+        val SPOT_PAUSE: Duration = 6.seconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
@@ -0,0 +1,80 @@
+// The settings of an entry VM on a platform whose store lists backend servers and keeps the configuration.
+package org.ragwortlever.core.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.Serializable
+import org.ragwortlever.core.json.DocumentError
+import org.ragwortlever.core.json.decodeChecked
+
+/**
+ * Settings of one entry VM. Addresses are IP address and port.
+ *
+ * @property nodeId name of this entry VM, unique among the live ones.
+ * @property callers where callers connect.
+ * @property readiness where the platform asks whether this VM takes requests.
+ * @property entryVms where callers ask which entry VMs to use.
+ * @property metricsPort port of the metrics, on the VM's address; 0 for none.
+ * @property store address of the platform's store.
+ * @property duties address that takes usage reports and orders for backend servers; empty for none.
+ */
+@Serializable
+data class FleetSettings(
+    val nodeId: String,
+    val address: String,
+    val zone: String,
+    val region: String,
+    val callers: String,
+    val readiness: String,
+    val entryVms: String,
+    val metricsPort: Int = 0,
+    val store: String,
+    val duties: String = "",
+    val http: HttpSettings = HttpSettings(),
+    val bounds: BoundSettings = BoundSettings(),
+)
+
+/**
+ * Bounds that the platform states for all entry VMs together.
+ *
+ * @property gracePeriodSeconds time from SIGTERM until the process is killed, in seconds.
+ * @property entryVmMaxAgeSeconds longest time that callers keep an answer about entry VMs, in seconds.
+ * @property retryRatio repeats per request that one service may see within [retryWindowSeconds].
+ * @property retryExtra repeats beyond that ratio within the same window.
+ * @property leaseSeconds time after which another VM may take a duty over, in seconds.
+ * @property usageWindowSeconds length of a usage window, in seconds.
+ * @property usageDueSeconds time after a window's end by which its usage is due, in seconds.
+ */
+@Serializable
+data class BoundSettings(
+    val gracePeriodSeconds: Double = 8.0,
+    val entryVmMaxAgeSeconds: Double = 5.0,
+    val retryRatio: Double = 0.2,
+    val retryExtra: Double = 50.0,
+    val retryWindowSeconds: Double = 10.0,
+    val leaseSeconds: Double = 3.0,
+    val usageWindowSeconds: Double = 60.0,
+    val usageDueSeconds: Double = 60.0,
+)
+
+/** Parses and checks settings; the error lists every fault with line, path and rule. */
+fun parseFleetSettings(text: String): Result<FleetSettings, List<DocumentError>> {
+    val (settings, located) = decodeChecked(text, FleetSettings.serializer()).getOrElse { return Err(it) }
+    val addresses =
+        mapOf("callers" to settings.callers, "readiness" to settings.readiness, "entryVms" to settings.entryVms, "store" to settings.store)
+    val faults =
+        addresses.filterValues { !ADDRESS.matches(it) }.map { (name, _) -> located.errorAt("$.$name", "must be IP address:port") } +
+            listOfNotNull(
+                located.errorAt("$.nodeId", "must not be blank").takeIf { settings.nodeId.isBlank() },
+                located.errorAt("$.duties", "must be IP address:port or empty").takeIf { settings.duties.isNotEmpty() && !ADDRESS.matches(settings.duties) },
+                located.errorAt("$.metricsPort", "must be from 0 to 65535").takeIf { settings.metricsPort !in 0..65535 },
+                located.errorAt("$.bounds.gracePeriodSeconds", "must be positive").takeIf { settings.bounds.gracePeriodSeconds <= 0 },
+                located.errorAt("$.bounds.leaseSeconds", "must be at least 1").takeIf { settings.bounds.leaseSeconds < 1 },
+                located.errorAt("$.bounds.usageWindowSeconds", "must be at least 1").takeIf { settings.bounds.usageWindowSeconds < 1 },
+            )
+    return if (faults.isEmpty()) Ok(settings) else Err(faults)
+}
+
+private val ADDRESS = Regex("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}")
--- a/core/src/main/kotlin/org/ragwortlever/core/store/StoreTypes.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/store/StoreTypes.kt
@@ -93,3 +93,26 @@
         val reason: String,
     ) : StoreFailure
 }
+
+/** One change of an entry. */
+sealed interface StoreChange {
+    data class Put(
+        val entry: StoreEntry,
+    ) : StoreChange
+
+    data class Removed(
+        val key: String,
+    ) : StoreChange
+}
+
+/** What a question for changes brought. */
+sealed interface StoreChanges {
+    /** The changes up to [revision], oldest first; ask for those after it next. */
+    data class Since(
+        val revision: Long,
+        val changes: List<StoreChange>,
+    ) : StoreChanges
+
+    /** The store has forgotten the changes; everything has to be read again. */
+    data object HistoryGone : StoreChanges
+}
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageCounts.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageCounts.kt
@@ -31,23 +31,32 @@
 fun AccountCounts.beyond(other: AccountCounts): AccountCounts =
     mapValues { (account, counts) -> counts - (other[account] ?: UsageCounts()) }.filterValues { it != UsageCounts() }
 
-/** A window of [LENGTH], named by its start in UTC. */
+/** A window of [length], named by its start in UTC; windows begin at whole multiples of their length since 1970. */
 data class UsageWindow(
     val start: Instant,
+    val length: Duration = DEFAULT_LENGTH,
 ) {
-    val end: Instant get() = start + LENGTH
+    val end: Instant get() = start + length
 
     /** Name in store keys and reports. */
     val name: String get() = start.toString()
 
-    fun next(): UsageWindow = UsageWindow(end)
+    fun next(): UsageWindow = UsageWindow(end, length)
 
     companion object {
-        val LENGTH: Duration = 60.seconds
-
-        fun at(now: Instant): UsageWindow =
-            UsageWindow(Instant.fromEpochSeconds(now.epochSeconds - now.epochSeconds.mod(LENGTH.inWholeSeconds)))
-
-        fun named(name: String): UsageWindow = UsageWindow(Instant.parse(name))
+        val DEFAULT_LENGTH: Duration = 60.seconds
+
+        fun at(
+            now: Instant,
+            length: Duration = DEFAULT_LENGTH,
+        ): UsageWindow {
+            val milliseconds = now.toEpochMilliseconds()
+            return UsageWindow(Instant.fromEpochMilliseconds(milliseconds - milliseconds.mod(length.inWholeMilliseconds)), length)
+        }
+
+        fun named(
+            name: String,
+            length: Duration = DEFAULT_LENGTH,
+        ): UsageWindow = UsageWindow(Instant.parse(name), length)
     }
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
@@ -33,13 +33,14 @@
     val sequence: Long = 0,
     val parts: Map<String, UsagePart> = emptyMap(),
     val flushed: Map<String, Long> = emptyMap(),
+    val windowLength: Duration = UsageWindow.DEFAULT_LENGTH,
 ) {
     fun record(
         account: String,
         counts: UsageCounts,
         now: Instant,
     ): UsageLedger {
-        val window = UsageWindow.at(now).name
+        val window = UsageWindow.at(now, windowLength).name
         val before = parts[window]?.counts.orEmpty()
         val part = UsagePart(sequence + 1, before.added(mapOf(account to counts)))
         return copy(sequence = sequence + 1, parts = parts + (window to part))
@@ -65,7 +66,7 @@
     ): UsageLedger {
         val marked = flushed + (flush.window to maxOf(flush.part.sequence, flushed[flush.window] ?: 0))
         val kept =
-            parts.filter { (window, part) -> UsageWindow.named(window).end > now || part.sequence > (marked[window] ?: 0) }
+            parts.filter { (window, part) -> UsageWindow.named(window, windowLength).end > now || part.sequence > (marked[window] ?: 0) }
         return copy(parts = kept, flushed = marked.filterKeys { it in kept })
     }
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
@@ -123,6 +123,7 @@
     val notBefore: Instant = Instant.DISTANT_PAST,
     val cursor: UsageCursor? = null,
     val cursorAt: Long = 0,
+    val windowLength: Duration = UsageWindow.DEFAULT_LENGTH,
 ) {
     /** Starts anew when the lease changed. */
     fun under(
@@ -130,7 +131,7 @@
         now: Instant,
     ): UsageReporter {
         val number = lease?.fencing ?: 0
-        return if (number == fencing) this else UsageReporter(times, grace, number, now)
+        return if (number == fencing) this else UsageReporter(times, grace, number, now, windowLength = windowLength)
     }
 
     /** The call to make now under [lease], or null if there is none to make yet. */
@@ -155,7 +156,7 @@
         if (number != fencing) return this
         val stage = stage
         if (stage is ReporterStage.Send) {
-            val window = UsageWindow.named(stage.sealed.window)
+            val window = UsageWindow.named(stage.sealed.window, windowLength)
             return if (answer == ReporterAnswer.Reported) to(ReporterStage.MarkReported(window)) else copy(notBefore = now + times.retry)
         }
         val fromStore = (answer as? ReporterAnswer.FromStore)?.answer ?: return again(now)
@@ -168,13 +169,13 @@
         now: Instant,
     ): UsageReporter {
         val entry = (answer.readSince(fencing) ?: return again(now)).entries.firstOrNull()
-        if (entry == null) return to(ReporterStage.StartCursor(UsageWindow.at(now - UsageWindow.LENGTH)))
+        if (entry == null) return to(ReporterStage.StartCursor(UsageWindow.at(now - windowLength, windowLength)))
         val read = UsageCursor.decode(entry.value)
         val stage =
             if (read.reported != read.sealed) {
-                ReporterStage.ReadSealed(UsageWindow.named(read.reported).next())
+                ReporterStage.ReadSealed(UsageWindow.named(read.reported, windowLength).next())
             } else {
-                ReporterStage.ReadClosed(UsageWindow.named(read.sealed).next())
+                ReporterStage.ReadClosed(UsageWindow.named(read.sealed, windowLength).next())
             }
         return copy(cursor = read, cursorAt = entry.modifyRevision, stage = stage)
     }
@@ -293,7 +294,7 @@
 
 /** Nothing before the first window is reported; it is the one before the first holder of the role got its lease. */
 private fun ReporterStage.StartCursor.start(guard: Condition): StoreCall {
-    val before = UsageWindow(first.start - UsageWindow.LENGTH).name
+    val before = UsageWindow(first.start - first.length).name
     val conditions = listOf(guard, Condition.Absent(UsageKeys.CURSOR))
     return StoreCall.Commit(Transaction(conditions, listOf(Write.Put(UsageKeys.CURSOR, UsageCursor(before, before).encode()))))
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -0,0 +1,169 @@
+/*
+ * Keeps a view of the fleet up to date from the store. Backend servers announce themselves all the time, so a watch
+ * that waits for the next change would return at once again and again: the follower asks in steady steps instead and
+ * takes all changes of a step in one call.
+ */
+package org.ragwortlever.daemon.fleet
+
+import com.github.michaelbull.result.fold
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.ragwortlever.core.fleet.FleetChange
+import org.ragwortlever.core.fleet.FleetKeys
+import org.ragwortlever.core.fleet.FleetRecord
+import org.ragwortlever.core.fleet.FleetView
+import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.store.StoreChange
+import org.ragwortlever.core.store.StoreChanges
+import org.ragwortlever.core.store.StoreEntry
+import org.ragwortlever.core.store.StoreFailure
+import org.ragwortlever.daemon.platform.ChangeFeed
+import kotlin.concurrent.thread
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Translates the platform's entries into records of the fleet. */
+interface FleetDecoder {
+    /** Prefix under which everything lies that the fleet needs. */
+    val prefix: String
+
+    /** The record in [entry]; null for an entry that says nothing of the fleet or can't be read. */
+    fun decode(entry: StoreEntry): FleetRecord?
+
+    /** The record of the removal of [key]. */
+    fun removal(key: String): FleetRecord?
+}
+
+/** Takes what the follower learns; called on the follower's thread. */
+interface FleetListener {
+    fun changed(
+        view: FleetView,
+        changes: Set<FleetChange>,
+    )
+
+    fun crashSeen(record: FleetRecord.CrashSeen)
+
+    /** The entry [key] has gone from the store. */
+    fun keyRemoved(key: String)
+}
+
+class FleetFollower(
+    private val feed: ChangeFeed,
+    private val decoder: FleetDecoder,
+    private val listener: FleetListener,
+    private val now: () -> Instant,
+) : AutoCloseable {
+    private val view = FleetView()
+    private var revision: Long? = null
+    private var lostSince: Instant? = null
+
+    @Volatile
+    private var closed = false
+    private var thread: Thread? = null
+
+    fun start() {
+        thread = thread(name = "fleet-follower", isDaemon = true) { while (!closed) guardedStep() }
+    }
+
+    override fun close() {
+        closed = true
+        thread?.interrupt()
+    }
+
+    private fun guardedStep() {
+        val pause =
+            try {
+                step()
+            } catch (_: InterruptedException) {
+                return
+            } catch (failure: RuntimeException) {
+                logger.error { eventLine("fleet-step-failed", "error" to failure) }
+                RETRY
+            }
+        runCatching { Thread.sleep(pause.inWholeMilliseconds) }
+    }
+
+    private fun step(): Duration {
+        val from = revision
+        val answered = if (from == null) readAll() else readChanges(from)
+        val expired = view.expire(now())
+        if (expired.isNotEmpty()) listener.changed(view, expired)
+        return if (answered) STEP else RETRY
+    }
+
+    private fun readAll(): Boolean =
+        feed.readPrefix(decoder.prefix).fold(
+            success = { read ->
+                answered()
+                view.replaceAll(read.entries.mapNotNull(::decode), now())
+                revision = read.revision
+                logger.info { eventLine("fleet-read", "revision" to read.revision, "servers" to view.servers.all.size, "nodes" to view.nodes.size) }
+                listener.changed(view, FleetChange.entries.toSet())
+                true
+            },
+            failure = ::failed,
+        )
+
+    private fun readChanges(from: Long): Boolean =
+        feed.changes(decoder.prefix, from, WAIT).fold(
+            success = { answer ->
+                answered()
+                when (answer) {
+                    is StoreChanges.Since -> apply(answer)
+                    StoreChanges.HistoryGone -> {
+                        logger.warn { eventLine("fleet-history-gone", "revision" to from) }
+                        revision = null
+                        return readAll()
+                    }
+                }
+                true
+            },
+            failure = ::failed,
+        )
+
+    private fun apply(answer: StoreChanges.Since) {
+        val changes = HashSet<FleetChange>()
+        answer.changes.forEach { change ->
+            if (change is StoreChange.Removed) listener.keyRemoved(change.key)
+            val record =
+                when (change) {
+                    is StoreChange.Put -> decode(change.entry)
+                    is StoreChange.Removed -> FleetKeys.removal(change.key) ?: decoder.removal(change.key)
+                }
+            if (record is FleetRecord.CrashSeen) listener.crashSeen(record)
+            record?.let { view.apply(it, now()) }?.let { changes += it }
+        }
+        revision = answer.revision
+        if (changes.isNotEmpty()) listener.changed(view, changes)
+    }
+
+    private fun decode(entry: StoreEntry): FleetRecord? = FleetKeys.decode(entry.key, entry.value) ?: decoder.decode(entry)
+
+    private fun answered() {
+        val since = lostSince ?: return
+        logger.info { eventLine("store-regained", "lost-ms" to (now() - since).inWholeMilliseconds) }
+        lostSince = null
+        view.storeAnswers(now())
+    }
+
+    private fun failed(failure: StoreFailure): Boolean {
+        if (lostSince == null) {
+            lostSince = now()
+            logger.warn { eventLine("store-lost", "failure" to failure) }
+        }
+        view.storeLost(now())
+        return false
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+
+        // Bounds how late a change is seen; the platform allows two seconds for a configuration or a leaving server.
+        val STEP = 700.milliseconds
+        val RETRY = 300.milliseconds
+
+        // A step without changes ends with this; shorter than the call's own timeout.
+        val WAIT = 1.seconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -0,0 +1,239 @@
+// Composes an entry VM that takes its configuration and its backend servers from the platform's store.
+package org.ragwortlever.daemon.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.ragwortlever.core.backend.BackendServer
+import org.ragwortlever.core.dispatch.DispatchEvent
+import org.ragwortlever.core.dispatch.DispatchOptions
+import org.ragwortlever.core.dispatch.Dispatcher
+import org.ragwortlever.core.dispatch.RepeatBound
+import org.ragwortlever.core.fleet.FleetChange
+import org.ragwortlever.core.fleet.FleetRecord
+import org.ragwortlever.core.fleet.FleetView
+import org.ragwortlever.core.fleet.NodeRecord
+import org.ragwortlever.core.fleet.ServiceLoad
+import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.route.RouteTable
+import org.ragwortlever.core.settings.FleetSettings
+import org.ragwortlever.core.usage.UsageKeys
+import org.ragwortlever.daemon.caller.OpenExchanges
+import org.ragwortlever.daemon.control.ControlLoop
+import org.ragwortlever.daemon.control.MonotonicClock
+import org.ragwortlever.daemon.control.SuspendAwareClock
+import org.ragwortlever.daemon.gateway.DispatchGateway
+import org.ragwortlever.daemon.gateway.RequestObserver
+import org.ragwortlever.daemon.gateway.RoutedCalls
+import org.ragwortlever.daemon.gateway.RoutedHeaders
+import org.ragwortlever.daemon.gateway.ServerClient
+import org.ragwortlever.daemon.platform.ChangeFeed
+import org.ragwortlever.daemon.platform.KeyValueStore
+import org.ragwortlever.daemon.role.DutyPorts
+import org.ragwortlever.daemon.role.FleetDuties
+import org.ragwortlever.daemon.role.FleetState
+import org.ragwortlever.http.HttpLimits
+import org.ragwortlever.http.HttpListener
+import org.ragwortlever.http.UndertowListeners
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What an entry VM says of itself to those who ask. */
+interface NodeStatus {
+    /** Whether this VM takes requests. */
+    val isReady: Boolean
+
+    /** Entry VMs that callers may use. */
+    val entryVms: List<NodeRecord>
+}
+
+/** How the platform is spoken to. [listeners] makes the endpoints beside the callers' one. */
+class PlatformPorts(
+    val store: KeyValueStore,
+    val feed: ChangeFeed,
+    val decoder: FleetDecoder,
+    val headers: RoutedHeaders,
+    val duties: DutyPorts?,
+    val listeners: (FleetSettings, NodeStatus) -> List<HttpListener>,
+)
+
+class FleetNode(
+    private val settings: FleetSettings,
+    private val ports: PlatformPorts,
+) : AutoCloseable {
+    private val clock = MonotonicClock()
+    private val control = ControlLoop()
+    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val open = OpenExchanges()
+    private val record =
+        NodeRecord(settings.nodeId, clock.now().toEpochMilliseconds(), settings.callers, settings.zone, settings.region)
+    private val registration = NodeRegistration(record, ports.store) { load }
+    private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.repeatBound()))
+    private val gateway = DispatchGateway(control, dispatcher, clock) { logger.info { eventLine("server-crash", "server" to it.server) } }
+    private val servers = ServerClient(ports.headers)
+    private val follower = FleetFollower(ports.feed, ports.decoder, Listener(), clock::now)
+
+    @Volatile
+    private var table: RouteTable? = null
+
+    @Volatile
+    private var nodes: Map<String, NodeRecord> = emptyMap()
+
+    @Volatile
+    private var leaving = false
+
+    @Volatile
+    private var load: Map<String, ServiceLoad> = emptyMap()
+
+    @Volatile
+    private var announced: List<BackendServer> = emptyList()
+    private val duties =
+        ports.duties?.let {
+            FleetDuties(settings.nodeId, settings.bounds, ports.store, it, clock, SuspendAwareClock(), ::fleetState)
+        }
+
+    private val status =
+        object : NodeStatus {
+            override val isReady: Boolean get() = table != null && !leaving
+            override val entryVms: List<NodeRecord> get() = entryVms()
+        }
+    private val calls =
+        RoutedCalls(gateway, servers, ports.headers, { table }, { leaving }, Observer(), clock::now)
+    private val server = UndertowListeners(listeners(), settings.limits())
+
+    fun start() {
+        Gauge.builder("ragwortlever.requests.open") { open.count }.register(metrics)
+        Gauge.builder("ragwortlever.configuration.version") { table?.document?.version ?: 0 }.register(metrics)
+        server.start()
+        follower.start()
+        registration.start()
+        duties?.start()
+        control.every(LOAD_PERIOD) { load = dispatcher.load(clock.now()) }
+        logger.info { eventLine("started", "node" to settings.nodeId, "zone" to settings.zone, "callers" to settings.callers) }
+    }
+
+    /** Stops gracefully: callers are sent elsewhere, and what runs here is finished while the grace period lasts. */
+    fun drain() {
+        leaving = true
+        val began = clock.now()
+        val end = began + settings.bounds.gracePeriodSeconds.seconds - STOP_MARGIN
+        logger.info { eventLine("draining", "node" to settings.nodeId, "open" to open.count) }
+        registration.close()
+        duties?.close()
+        val callersKeepAddress = began + CALLERS_KEEP_ADDRESS
+        while (clock.now() < end && (open.count > 0 || clock.now() < callersKeepAddress)) Thread.sleep(DRAIN_POLL.inWholeMilliseconds)
+        logger.info { eventLine("stopped", "node" to settings.nodeId, "open" to open.count, "ms" to (clock.now() - began).inWholeMilliseconds) }
+    }
+
+    override fun close() {
+        follower.close()
+        server.stop()
+        servers.close()
+        control.close()
+    }
+
+    private fun fleetState(): FleetState {
+        val others = nodes.values.filter { it.name != settings.nodeId }.map { it.load }
+        val total = (others + load).flatMap { it.entries }.groupBy({ it.key }, { it.value })
+        return FleetState(table?.document, announced, total.mapValues { (_, loads) -> loads.reduce(ServiceLoad::plus) })
+    }
+
+    private fun entryVms(): List<NodeRecord> {
+        val others = nodes.values.filter { it.name != settings.nodeId }
+        return if (status.isReady) others + record else others
+    }
+
+    private fun listeners(): List<HttpListener> {
+        val (host, port) = settings.callers.split(':')
+        val callers = HttpListener(host, port.toInt(), open.counting(calls::handle))
+        val metricsListener = HttpListener(settings.address, settings.metricsPort, ::metrics, isQuick = true)
+        return listOf(callers) + ports.listeners(settings, status) + listOf(metricsListener).filter { settings.metricsPort > 0 }
+    }
+
+    private fun metrics(request: Request): Response =
+        if (request.uri.path == "/metrics") Response(Status.OK).body(metrics.scrape()) else Response(Status.NOT_FOUND)
+
+    private inner class Listener : FleetListener {
+        override fun changed(
+            view: FleetView,
+            changes: Set<FleetChange>,
+        ) {
+            if (FleetChange.CONFIGURATION in changes) configure(view)
+            if (FleetChange.SERVERS in changes) announced = view.servers.all.map { it.server }
+            if (FleetChange.SERVERS in changes) gateway.post(DispatchEvent.ServersChanged(view.servers.usable))
+            if (FleetChange.ZONES in changes) {
+                logger.info { eventLine("zones-taken-out", "zones" to view.zonesTakenOut) }
+                gateway.post(DispatchEvent.ZonesTakenOut(view.zonesTakenOut))
+            }
+            if (FleetChange.NODES in changes) {
+                nodes = view.nodes.toMap()
+                gateway.post(DispatchEvent.NodesChanged(nodes.keys))
+            }
+        }
+
+        override fun keyRemoved(key: String) {
+            if (key == UsageKeys.LEASE) duties?.leaseKeyFreed()
+        }
+
+        override fun crashSeen(record: FleetRecord.CrashSeen) =
+            gateway.post(DispatchEvent.CrashReported(record.crash.server, record.crash.zone, record.crash.digests))
+
+        private fun configure(view: FleetView) {
+            val document = view.document ?: return
+            if (table?.document?.version == document.version) return
+            table = RouteTable(document)
+            logger.info { eventLine("configured", "version" to document.version, "routes" to document.routes.size, "accounts" to document.accounts.size) }
+        }
+    }
+
+    private inner class Observer : RequestObserver {
+        override fun began(account: String?) {
+            account?.let { duties?.usage?.record(it, promptTokens = 0, generatedTokens = 0) }
+        }
+
+        override fun answered(
+            route: String,
+            status: Int,
+            first: Duration,
+            took: Duration,
+        ) {
+            timer("ragwortlever.request.first", route, status).record(first.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            timer("ragwortlever.request", route, status).record(took.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        }
+
+        private fun timer(
+            name: String,
+            route: String,
+            status: Int,
+        ): Timer = Timer.builder(name).tag("route", route).tag("status", status.toString()).register(metrics)
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+
+        // The kill at the end of the grace period would cut what a later exit still does.
+        val STOP_MARGIN = 300.milliseconds
+
+        // Some callers keep an answer about entry VMs three times as long as it says.
+        val CALLERS_KEEP_ADDRESS = 3.seconds
+        val DRAIN_POLL = 50.milliseconds
+        val LOAD_PERIOD = 1.seconds
+    }
+}
+
+private fun FleetSettings.repeatBound() = RepeatBound(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
+
+private fun FleetSettings.limits() =
+    HttpLimits(
+        headerBytes = http.headerBytes,
+        bodyBytes = http.bodyBytes,
+        idleMilliseconds = http.idleSeconds * 1000,
+        workerThreads = http.workerThreads,
+    )
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/EventRelay.kt
@@ -0,0 +1,112 @@
+/*
+ * Passes a stream of server-sent events on, whole events only. When the server breaks off, the stream may go on at
+ * another server after the last whole event; the caller sees one stream.
+ */
+package org.ragwortlever.daemon.gateway
+
+import okio.Buffer
+import okio.BufferedSource
+import org.ragwortlever.core.route.Route
+import org.ragwortlever.http.ChunkStream
+import java.io.IOException
+
+/** Where the events come from, and who learns how the stream ended. */
+internal interface StreamSource {
+    fun completed()
+
+    /** The caller stopped reading, or the stream can't go on. */
+    fun abandoned()
+
+    /** The stream of another server that goes on after [lastEventId]; null if there is none. */
+    fun resume(
+        failure: IOException,
+        lastEventId: String?,
+        hasSentHead: Boolean,
+    ): BufferedSource?
+}
+
+/** The caller's side of a stream. */
+internal class EventRelay(
+    first: BufferedSource,
+    private val route: Route,
+    private val source: StreamSource,
+    private val onEnd: () -> Unit,
+) : ChunkStream() {
+    private var events = first
+    private val pending = Buffer()
+    private var lastEventId: String? = null
+    private var prefetched: ByteArray? = null
+    private var hasSentHead = false
+    private var ended = false
+
+    /** Reads the first events; false when the stream can't begin, and the ticket then holds the last decision. */
+    fun prefetch(): Boolean {
+        prefetched =
+            try {
+                readEvents()
+            } catch (_: IOException) {
+                return false
+            }
+        hasSentHead = true
+        return true
+    }
+
+    override fun nextChunk(): ByteArray? {
+        prefetched?.let {
+            prefetched = null
+            return it
+        }
+        return if (ended) null else readEvents()
+    }
+
+    override fun close() {
+        if (!ended) source.abandoned()
+        ended = true
+    }
+
+    /** The next whole events; an [IOException] when the stream broke off for good. */
+    private fun readEvents(): ByteArray? {
+        while (true) {
+            try {
+                val count = events.read(pending, READ_BYTES)
+                if (count < 0) return end()
+            } catch (failure: IOException) {
+                pending.clear()
+                events = source.resume(failure, lastEventId, hasSentHead) ?: throw failure.also { ended = true }
+                continue
+            }
+            takeWholeEvents()?.let { return it }
+        }
+    }
+
+    private fun end(): ByteArray? {
+        ended = true
+        source.completed()
+        onEnd()
+        return if (pending.size == 0L) null else pending.readByteArray()
+    }
+
+    private fun takeWholeEvents(): ByteArray? {
+        val content = pending.snapshot()
+        val end = maxOf(content.lastIndexOf(EVENT_END) + EVENT_END.size, content.lastIndexOf(EVENT_END_CRLF) + EVENT_END_CRLF.size)
+        if (end < EVENT_END_CRLF.size && content.lastIndexOf(EVENT_END) < 0) return null
+        val whole = pending.readByteArray(end.toLong())
+        if (route.isResumable) lastIdIn(whole)?.let { lastEventId = it }
+        return whole
+    }
+
+    private companion object {
+        const val READ_BYTES = 8192L
+        val EVENT_END = "\n\n".toByteArray()
+        val EVENT_END_CRLF = "\r\n\r\n".toByteArray()
+    }
+}
+
+/** The value of the last `id` field in [events]. */
+private fun lastIdIn(events: ByteArray): String? =
+    String(events)
+        .lineSequence()
+        .filter { it.startsWith("id:") }
+        .lastOrNull()
+        ?.removePrefix("id:")
+        ?.trim()
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
@@ -0,0 +1,288 @@
+/*
+ * The path of a routed request: finds its route and client account, has the dispatcher choose a backend server, and
+ * passes the server's answer on. An answer of known length is read whole before the first byte goes to the caller, so
+ * that a broken one can be replaced; streams are passed on event by event.
+ */
+package org.ragwortlever.daemon.gateway
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.binding
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.http4k.core.Body
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.ragwortlever.core.dispatch.AttemptEnd
+import org.ragwortlever.core.dispatch.DispatchEffect
+import org.ragwortlever.core.dispatch.DispatchEvent
+import org.ragwortlever.core.error.ErrorKind
+import org.ragwortlever.core.error.Executed
+import org.ragwortlever.core.error.Refusal
+import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.route.RouteKind
+import org.ragwortlever.core.route.RouteTable
+import org.ragwortlever.daemon.caller.readBody
+import org.ragwortlever.daemon.caller.toResponse
+import org.ragwortlever.http.CallerWatch
+import org.ragwortlever.http.SendMark
+import java.io.IOException
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** What the gateway reports of requests, for usage and metrics. Called from traffic threads. */
+interface RequestObserver {
+    /** A backend server has begun to run a request of [account]. */
+    fun began(account: String?)
+
+    /** The request on [route] was answered with [status] after [took]; the first byte came after [first]. */
+    fun answered(
+        route: String,
+        status: Int,
+        first: Duration,
+        took: Duration,
+    )
+}
+
+internal class RoutedCalls(
+    private val gateway: DispatchGateway,
+    private val servers: ServerClient,
+    private val names: RoutedHeaders,
+    private val table: () -> RouteTable?,
+    private val isLeaving: () -> Boolean,
+    private val observer: RequestObserver,
+    private val now: () -> Instant,
+) {
+    private val nextKey = AtomicLong()
+    private val parser = RoutedRequestParser(names)
+
+    fun handle(request: Request): Response {
+        val arrival = now()
+        val id = request.header(names.requestId).orEmpty()
+        val prepared = prepare(request, arrival).getOrElse { return refusal(id, it, "", arrival) }
+        val exchange = RoutedExchange(prepared, arrival)
+        CallerWatch.current?.onGone(exchange::callerGone)
+        return exchange.answer()
+    }
+
+    private fun prepare(
+        request: Request,
+        arrival: Instant,
+    ): Result<PreparedRequest, Refusal> =
+        binding {
+            val current = table() ?: Err(NO_CONFIGURATION).bind()
+            val body = request.readBody(current.document.limits.bodyBytes).bind()
+            parser.prepare(request, body, current, nextKey.incrementAndGet(), arrival).bind()
+        }
+
+    private fun refusal(
+        id: String,
+        refusal: Refusal,
+        route: String,
+        arrival: Instant,
+    ): Response {
+        val took = now() - arrival
+        logger.info {
+            eventLine("refused", "request" to id, "route" to route, "kind" to refusal.kind.code, "executed" to refusal.executed, "detail" to refusal.detail, "ms" to took.inWholeMilliseconds)
+        }
+        val response = refusal.toResponse(id)
+        observer.answered(route, response.status.code, took, took)
+        return response.leaving()
+    }
+
+    private fun Response.leaving(): Response = if (isLeaving()) header("Connection", "close") else this
+
+    /** One request from the first decision to the end of its answer. */
+    private inner class RoutedExchange(
+        private val prepared: PreparedRequest,
+        private val arrival: Instant,
+    ) : StreamSource {
+        private val request = prepared.request
+        private val ticket = gateway.submit(request)
+
+        @Volatile
+        private var call: okhttp3.Call? = null
+
+        @Volatile
+        private var isCallerGone = false
+        private var counted = false
+
+        fun callerGone() {
+            isCallerGone = true
+            call?.cancel()
+            gateway.release(ticket)
+            ticket.decided(DispatchEffect.Refuse(request.key, Refusal(ErrorKind.CALLER_GONE, "the caller closed its connection")))
+            logger.info { eventLine("caller-gone", "request" to request.id, "ms" to (now() - arrival).inWholeMilliseconds) }
+        }
+
+        /** Runs attempts until one answers or the dispatcher gives up. */
+        fun answer(): Response {
+            while (true) {
+                when (val decision = ticket.awaitDecision()) {
+                    is DispatchEffect.Refuse -> return refused(decision.refusal)
+                    is DispatchEffect.Send -> attempt(decision)?.let { return it }
+                    is DispatchEffect.ReportCrash -> continue
+                }
+            }
+        }
+
+        private fun refused(refusal: Refusal): Response {
+            gateway.release(ticket)
+            return refusal(request.id, refusal, request.route.name, arrival)
+        }
+
+        private fun attempt(send: DispatchEffect.Send): Response? {
+            val answering = open(send, lastEventId = null) ?: return null
+            val first = now() - arrival
+            val response = answering.response
+            val headers = names.returned(response.headers.map { (name, value) -> name to value })
+            val base = Response(Status(response.code, response.message)).headers(headers).leaving()
+            if (request.route.kind == RouteKind.STREAM && response.isSuccessful) return stream(base, answering, first)
+            val content =
+                try {
+                    response.body.bytes()
+                } catch (failure: IOException) {
+                    ended(AttemptEnd.Failed(failure.kind()), "the answer broke off: $failure")
+                    return null
+                }
+            if (response.code >= SERVER_ERROR && request.route.isRepeatable) return repeatError(base, content)
+            return finish(base.body(Body(content.inputStream(), content.size.toLong())), response.code, first)
+        }
+
+        /** An error of the server's own; another server may answer, but this one's answer stands if none does. */
+        private fun repeatError(
+            base: Response,
+            content: ByteArray,
+        ): Response? {
+            val status = base.status.code
+            ended(AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR), "status $status")
+            when (val decision = ticket.awaitDecision()) {
+                is DispatchEffect.Send -> return attempt(decision)
+                else -> {
+                    gateway.release(ticket)
+                    val promises = status in NOT_RUN_STATUSES
+                    val response = if (promises) return refused(MAY_HAVE_RUN) else base.body(Body(content.inputStream(), content.size.toLong()))
+                    return finishLogged(response, status, now() - arrival)
+                }
+            }
+        }
+
+        private fun stream(
+            base: Response,
+            answering: AttemptStart.Answering,
+            first: Duration,
+        ): Response? {
+            val relay = EventRelay(answering.response.body.source(), request.route, this) { finishLogged(base, base.status.code, first) }
+            // The answer's head goes out with its first event, so that a server that breaks before it can be replaced.
+            if (!relay.prefetch()) return null
+            return base.body(Body(relay, null))
+        }
+
+        private fun finish(
+            response: Response,
+            status: Int,
+            first: Duration,
+        ): Response {
+            val end = if (status >= SERVER_ERROR) AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR, canResume = false) else AttemptEnd.Answered
+            gateway.post(DispatchEvent.AttemptEnded(request.key, end))
+            gateway.release(ticket)
+            if (status in NOT_RUN_STATUSES) return refused(MAY_HAVE_RUN)
+            return finishLogged(response, status, first)
+        }
+
+        private fun finishLogged(
+            response: Response,
+            status: Int,
+            first: Duration,
+        ): Response {
+            val took = now() - arrival
+            logger.info {
+                eventLine("answered", "request" to request.id, "route" to request.route.name, "status" to status, "first-ms" to first.inWholeMilliseconds, "ms" to took.inWholeMilliseconds)
+            }
+            observer.answered(request.route.name, status, first, took)
+            return response
+        }
+
+        /** Sends the attempt; null when it failed and the dispatcher was told. */
+        private fun open(
+            send: DispatchEffect.Send,
+            lastEventId: String?,
+        ): AttemptStart.Answering? {
+            val timeLeft = request.deadline - now()
+            val timeout = minOf(timeLeft, send.patience ?: timeLeft)
+            logger.info {
+                eventLine("routed", "request" to request.id, "route" to request.route.name, "account" to request.account, "server" to send.server.server.id, "attempt" to send.attempt, "reason" to send.reason, "server-sequence" to send.server.server.sequence, "left-ms" to timeLeft.inWholeMilliseconds, "after" to lastEventId)
+            }
+            val mark = SendMark()
+            val headers = AttemptHeaders(request.account, request.tier.takeIf { request.parts.isNotEmpty() }, lastEventId)
+            val prepared = servers.prepare(prepared.outgoing, send.server, headers, timeLeft, timeout, mark)
+            call = prepared
+            if (isCallerGone) prepared.cancel()
+            return when (val start = servers.start(prepared, request.id, mark)) {
+                is AttemptStart.Answering -> {
+                    gateway.post(DispatchEvent.FirstByte(request.key))
+                    if (!counted) observer.began(request.account)
+                    counted = true
+                    start
+                }
+                is AttemptStart.Ended -> {
+                    ended(start.end, start.detail)
+                    null
+                }
+            }
+        }
+
+        private fun ended(
+            end: AttemptEnd,
+            detail: String,
+        ) {
+            logger.info { eventLine("attempt-failed", "request" to request.id, "end" to end, "detail" to detail, "ms" to (now() - arrival).inWholeMilliseconds) }
+            gateway.post(DispatchEvent.AttemptEnded(request.key, end))
+        }
+
+        override fun completed() {
+            gateway.post(DispatchEvent.AttemptEnded(request.key, AttemptEnd.Answered))
+            gateway.release(ticket)
+        }
+
+        override fun abandoned() {
+            call?.cancel()
+            gateway.release(ticket)
+        }
+
+        override fun resume(
+            failure: IOException,
+            lastEventId: String?,
+            hasSentHead: Boolean,
+        ): okio.BufferedSource? {
+            call?.cancel()
+            val canResume = request.route.isResumable && !isCallerGone && (lastEventId != null || !hasSentHead)
+            ended(AttemptEnd.Failed(failure.kind(), canResume), "the stream broke off after event $lastEventId: $failure")
+            while (true) {
+                val decision = ticket.awaitDecision()
+                if (decision !is DispatchEffect.Send) {
+                    ticket.decided(decision)
+                    return null
+                }
+                val answering = open(decision, lastEventId) ?: continue
+                if (answering.response.isSuccessful) return answering.response.body.source()
+                answering.response.close()
+                ended(AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR), "status ${answering.response.code}")
+            }
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val SERVER_ERROR = 500
+
+        // To callers these statuses promise that the request has not run; a server's own may mean something else.
+        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+        val NO_CONFIGURATION = Refusal(ErrorKind.CONFIGURATION_STALE, "no configuration has been read yet", Executed.NO, 1)
+        val MAY_HAVE_RUN = Refusal(ErrorKind.OUTCOME_UNKNOWN, "the backend server refused it without saying that it did not run", Executed.UNKNOWN)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestParser.kt
@@ -0,0 +1,82 @@
+// Reads a routed request's headers into what the dispatcher needs, or says why the request is refused.
+package org.ragwortlever.daemon.gateway
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.http4k.core.Request
+import org.ragwortlever.core.dispatch.PromptPart
+import org.ragwortlever.core.dispatch.RoutedRequest
+import org.ragwortlever.core.error.ErrorKind
+import org.ragwortlever.core.error.Refusal
+import org.ragwortlever.core.key.sha256Hex
+import org.ragwortlever.core.route.AccountDefinition
+import org.ragwortlever.core.route.Route
+import org.ragwortlever.core.route.RouteTable
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** A request as the dispatcher takes it and as it goes to a server. */
+internal class PreparedRequest(
+    val request: RoutedRequest,
+    val outgoing: OutgoingRequest,
+)
+
+internal class RoutedRequestParser(
+    private val names: RoutedHeaders,
+) {
+    fun prepare(
+        request: Request,
+        body: ByteArray,
+        table: RouteTable,
+        key: Long,
+        arrival: Instant,
+    ): Result<PreparedRequest, Refusal> {
+        val id = request.header(names.requestId)?.takeIf { it.isNotBlank() } ?: return malformed("header ${names.requestId}: is missing")
+        val host = request.header("Host") ?: return malformed("header Host: is missing")
+        val path = request.uri.path
+        val route = table.match(host, path) ?: return Err(Refusal(ErrorKind.NOT_FOUND, "no route of host $host begins path $path"))
+        val account = accountOf(request, route, table)
+        if (account == null && table.requiresKeys && !route.isOpen) return Err(Refusal(ErrorKind.INVALID_KEY, "no client account has this key"))
+        val patience = request.header(names.deadlineMilliseconds)?.let { it.toLongOrNull() ?: return malformed("header ${names.deadlineMilliseconds}: must be a number of milliseconds") }
+        val wait = minOf(route.timeout, patience?.milliseconds ?: route.timeout)
+        val position = (id.hashCode() and Int.MAX_VALUE) / (Int.MAX_VALUE + 1.0)
+        val pathAndQuery = path + request.uri.query.let { if (it.isEmpty()) "" else "?$it" }
+        val routed =
+            RoutedRequest(
+                key = key,
+                id = id,
+                route = route,
+                services = table.servicesFor(route, position),
+                account = account?.name,
+                tier = account?.tier ?: route.tier,
+                parts = parseParts(request.header(names.promptParts)),
+                outputTokens = request.header(names.tokenCount)?.substringAfter(',', "")?.trim()?.toIntOrNull() ?: 0,
+                digest = sha256Hex("${request.method} $pathAndQuery ${account?.name}\n".toByteArray() + body),
+                deadline = arrival + wait,
+            )
+        return Ok(PreparedRequest(routed, OutgoingRequest(id, request.method.name, pathAndQuery, request.headers, body)))
+    }
+
+    private fun accountOf(
+        request: Request,
+        route: Route,
+        table: RouteTable,
+    ): AccountDefinition? {
+        val credentials = request.header("Authorization")?.trim() ?: return null
+        if (!credentials.startsWith(names.keyScheme + " ", ignoreCase = true)) return null
+        val account = table.accountOf(credentials.substring(names.keyScheme.length + 1).trim())
+        return account.takeUnless { route.isOpen && it == null }
+    }
+
+    private fun malformed(detail: String) = Err(Refusal(ErrorKind.MALFORMED_REQUEST, detail))
+}
+
+/** Parts as `id:tokens` with commas between; a part that can't be read ends the list, since later ones depend on it. */
+internal fun parseParts(text: String?): List<PromptPart> =
+    text
+        .orEmpty()
+        .split(',')
+        .map { it.trim().split(':') }
+        .takeWhile { it.size == 2 && it[1].toIntOrNull() != null }
+        .map { (id, tokens) -> PromptPart(id, tokens.toInt()) }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -0,0 +1,167 @@
+/*
+ * Sends one attempt of a routed request to one backend server and checks that what comes back is that server's answer
+ * to this request: servers repeat the request's id, and an answer that came late belongs to an earlier request.
+ */
+package org.ragwortlever.daemon.gateway
+
+import okhttp3.Call
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
+import okhttp3.Interceptor
+import okhttp3.OkHttpClient
+import okhttp3.Protocol
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import org.http4k.core.Headers
+import org.ragwortlever.core.backend.KnownServer
+import org.ragwortlever.core.backend.ServerFailure
+import org.ragwortlever.core.dispatch.AttemptEnd
+import org.ragwortlever.http.KeepAliveSocketFactory
+import org.ragwortlever.http.NotSentException
+import org.ragwortlever.http.SendMark
+import org.ragwortlever.http.markingSends
+import java.io.IOException
+import java.io.InterruptedIOException
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+/** A routed request as it goes to a server, apart from what each attempt sets. */
+internal class OutgoingRequest(
+    val requestId: String,
+    val method: String,
+    val pathAndQuery: String,
+    val headers: Headers,
+    val body: ByteArray?,
+)
+
+/** What became of an attempt up to the headers of its answer. */
+internal sealed interface AttemptStart {
+    /** The server's own answer to this request; its body is open. */
+    class Answering(
+        val response: Response,
+    ) : AttemptStart
+
+    class Ended(
+        val end: AttemptEnd,
+        val detail: String,
+    ) : AttemptStart
+}
+
+/** Headers that differ from attempt to attempt. */
+internal data class AttemptHeaders(
+    val account: String?,
+    val priority: Int?,
+    val lastEventId: String?,
+)
+
+/** Sends attempts; calls block. */
+internal class ServerClient(
+    private val names: RoutedHeaders,
+) : AutoCloseable {
+    private val client: OkHttpClient =
+        OkHttpClient
+            .Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .protocols(listOf(Protocol.HTTP_1_1))
+            .socketFactory(KeepAliveSocketFactory)
+            .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
+            .readTimeout(Duration.ZERO.toJavaDuration())
+            .connectionPool(ConnectionPool(IDLE_CONNECTIONS, IDLE_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS))
+            .dispatcher(Dispatcher().apply { maxRequestsPerHost = maxRequests })
+            .addNetworkInterceptor(::withoutImmediateRetry)
+            .markingSends()
+            .build()
+
+    /** Prepares the attempt; [Call.cancel] on the result may be called from any thread. */
+    fun prepare(
+        request: OutgoingRequest,
+        server: KnownServer,
+        attempt: AttemptHeaders,
+        timeLeft: Duration,
+        timeout: Duration,
+        mark: SendMark,
+    ): Call {
+        val builder = Request.Builder().url("http://${server.server.address}${request.pathAndQuery}")
+        names.forwarded(request.headers).forEach { (name, value) ->
+            if (attempt.lastEventId == null || !name.equals(names.lastEventId, ignoreCase = true)) builder.addHeader(name, value.orEmpty())
+        }
+        // Without an encoding of its own the library asks for a compressed answer.
+        if (request.headers.none { it.first.equals("Accept-Encoding", ignoreCase = true) }) builder.header("Accept-Encoding", "identity")
+        builder.header(names.deadlineMilliseconds, timeLeft.inWholeMilliseconds.coerceAtLeast(1).toString())
+        builder.header(names.expectedServer, server.server.id)
+        attempt.account?.let { builder.header(names.account, it) }
+        attempt.priority?.let { builder.header(names.priority, it.toString()) }
+        attempt.lastEventId?.let { builder.header(names.lastEventId, it) }
+        val call = client.newCall(mark.on(builder.method(request.method, request.okHttpBody()).build()))
+        call.timeout().timeout(timeout.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS)
+        return call
+    }
+
+    /** Sends [call] and waits for the headers of its answer. */
+    fun start(
+        call: Call,
+        requestId: String,
+        mark: SendMark,
+    ): AttemptStart {
+        val response =
+            try {
+                mark.check { call.execute() }
+            } catch (failure: NotSentException) {
+                return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.UNREACHABLE), failure.message.orEmpty())
+            } catch (failure: IOException) {
+                return AttemptStart.Ended(AttemptEnd.Failed(failure.kind()), failure.toString())
+            }
+        val faulty = faultOf(response, requestId) ?: return AttemptStart.Answering(response)
+        response.close()
+        call.cancel()
+        return faulty
+    }
+
+    override fun close() {
+        client.connectionPool.evictAll()
+    }
+
+    /** Why [response] is no answer to hand on; null if it is one. */
+    private fun faultOf(
+        response: Response,
+        requestId: String,
+    ): AttemptStart.Ended? {
+        if (response.code == MISDIRECTED) return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.REPLACED), "another server")
+        if (response.header(names.notRun) != null) return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.BUSY), "status ${response.code}")
+        val answers = response.header(names.requestId)
+        if (answers != null && answers != requestId) return broken("the answer belongs to request $answers")
+        if (response.header("Content-Encoding") != null) return broken("the answer is encoded")
+        if (response.isSuccessful && response.header(names.signature) == null) return broken("the answer is not signed")
+        if (response.isSuccessful && answers == null) return broken("the answer names no request")
+        return null
+    }
+
+    private fun broken(detail: String) = AttemptStart.Ended(AttemptEnd.Failed(ServerFailure.ERROR), detail)
+
+    /** The library repeats a 503 that says "retry after 0" by itself; whether to repeat is decided elsewhere. */
+    private fun withoutImmediateRetry(chain: Interceptor.Chain): Response {
+        val response = chain.proceed(chain.request())
+        return if (response.code == UNAVAILABLE) response.newBuilder().removeHeader("Retry-After").build() else response
+    }
+
+    private companion object {
+        // Backend servers are a millisecond away; a connection that takes longer meets a dead or choked server.
+        val CONNECT_TIMEOUT = 500.milliseconds
+
+        // Servers close idle connections after a few seconds; a request on one that is being closed is lost.
+        val IDLE_TIME = 4.seconds
+        const val IDLE_CONNECTIONS = 64
+        const val MISDIRECTED = 421
+        const val UNAVAILABLE = 503
+    }
+}
+
+private fun OutgoingRequest.okHttpBody() = if (method == "GET" || method == "HEAD") null else (body ?: ByteArray(0)).toRequestBody()
+
+/** A timeout of the call is silence; everything else is a broken exchange. */
+internal fun IOException.kind(): ServerFailure = if (this is InterruptedIOException) ServerFailure.SILENT else ServerFailure.BROKEN
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/BoundedSender.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/BoundedSender.kt
@@ -18,7 +18,7 @@
 import kotlin.time.toJavaDuration
 
 /** Outcome of a bounded send. */
-internal sealed interface SendOutcome {
+sealed interface SendOutcome {
     data class Answered(
         val status: Int,
         val body: String,
@@ -34,7 +34,7 @@
  *
  * @param isSafe the safe-to-send check for the fencing number of the send.
  */
-internal class BoundedSender(
+class BoundedSender(
     client: OkHttpClient,
     timeout: Duration,
     private val isSafe: (fencing: Long) -> Boolean,
@@ -53,10 +53,16 @@
         url: String,
         body: String,
         fencing: Long,
+    ): SendOutcome = send(Request.Builder().url(url).put(body.toRequestBody(JSON)).build(), fencing)
+
+    /** Sends [request] if the lease is still safe to send on under the number [fencing]. */
+    fun send(
+        request: Request,
+        fencing: Long,
     ): SendOutcome {
-        val request = Request.Builder().url(url).put(body.toRequestBody(JSON)).tag(Fencing::class.java, Fencing(fencing)).build()
+        val guarded = request.newBuilder().tag(Fencing::class.java, Fencing(fencing)).build()
         return try {
-            calls.newCall(request).execute().use { SendOutcome.Answered(it.code, it.body.string()) }
+            calls.newCall(guarded).execute().use { SendOutcome.Answered(it.code, it.body.string()) }
         } catch (_: NotSafeException) {
             SendOutcome.NotSent
         } catch (_: ConnectException) {
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ExclusiveRoles.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ExclusiveRoles.kt
@@ -4,9 +4,11 @@
 import okhttp3.OkHttpClient
 import org.ragwortlever.core.key.sha256Hex
 import org.ragwortlever.core.lease.LeaseClaim
+import org.ragwortlever.core.lease.LeaseTimes
 import org.ragwortlever.core.order.OrderKeys
 import org.ragwortlever.core.settings.Settings
 import org.ragwortlever.core.usage.UsageKeys
+import org.ragwortlever.core.usage.flushInterval
 import org.ragwortlever.daemon.platform.KeyValueStore
 import org.ragwortlever.daemon.platform.VirtualMachine
 import kotlin.random.Random
@@ -23,7 +25,15 @@
     private val orderLease = keeper(OrderKeys.lease(settings.zone)) { it.zone == settings.zone }
     private val usageLease = keeper(UsageKeys.LEASE) { true }
     val orders = OrderRole(settings.platform, store, client, orderLease, now, settings.zone)
-    val usage = UsageRole(settings.platform, store, client, usageLease, now, source, { machines().size })
+    val usage =
+        UsageRole(
+            store = store,
+            lease = usageLease,
+            now = now,
+            source = source,
+            nextFlush = { it + flushInterval(machines().size) },
+            reports = HttpUsageReports(settings.platform, BoundedSender(client, LeaseTimes().sendTimeout, usageLease::isSafeToSend)),
+        )
 
     fun start() {
         orderLease.start()
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/HttpUsageReports.kt
@@ -0,0 +1,14 @@
+// Reports usage to the product's own usage-report interface.
+package org.ragwortlever.daemon.role
+
+import org.ragwortlever.core.usage.SealedWindow
+
+internal class HttpUsageReports(
+    private val platform: String,
+    private val sender: BoundedSender,
+) : UsageReports {
+    override fun send(
+        sealed: SealedWindow,
+        fencing: Long,
+    ): SendOutcome = sender.put("$platform/usage/v1/windows/${sealed.window}", sealed.encode(), fencing)
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/LeaseKeeper.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/LeaseKeeper.kt
@@ -4,10 +4,20 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.ragwortlever.core.lease.HeldLease
 import org.ragwortlever.core.lease.LeaseClaim
+import org.ragwortlever.core.lease.LeaseStage
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.daemon.platform.KeyValueStore
 import kotlin.time.Instant
 
+/** The lease of an exclusive role as its holder's sends need it. */
+interface DutyLease {
+    /** The lease, if this node holds it now by its own view. */
+    fun held(): HeldLease?
+
+    /** Whether a send under the number [fencing] that starts now ends before the lease does. */
+    fun isSafeToSend(fencing: Long): Boolean
+}
+
 /**
  * Keeps [claim] going.
  *
@@ -18,16 +28,31 @@
     private val store: KeyValueStore,
     private val now: () -> Instant,
     private val preferred: () -> Boolean,
-) : AutoCloseable {
+) : DutyLease,
+    AutoCloseable {
+    private val times = claim.times
+
     @Volatile
     private var claim = claim
-    private val thread = RoleThread("lease ${claim.key}", ::step)
 
-    /** The lease, if this node holds it now by its own view. */
-    fun held(): HeldLease? = claim.held(now())
+    @Volatile
+    private var freed = false
+    private val thread = RoleThread("lease ${claim.key}", step = ::step)
+
+    override fun held(): HeldLease? = claim.held(now())
+
+    override fun isSafeToSend(fencing: Long): Boolean {
+        val held = held() ?: return false
+        return held.fencing == fencing && held.isSafeToSend(now(), times)
+    }
 
     fun start() = thread.start()
 
+    /** The lease key has gone from the store; looks at once instead of at the next turn. */
+    fun keyFreed() {
+        freed = true
+    }
+
     /** Gives the role up. The caller has ended its sends before. */
     override fun close() {
         thread.close()
@@ -37,6 +62,10 @@
 
     private fun step(): Boolean {
         val asked = now()
+        if (freed) {
+            freed = false
+            if (claim.stage is LeaseStage.Looking) claim = claim.copy(stage = LeaseStage.Looking(asked))
+        }
         val call = claim.next(asked) ?: return false
         val before = claim.held(asked)?.fencing
         claim = claim.answered(store.answer(call), asked, now(), preferred())
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/OrderRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/OrderRole.kt
@@ -28,8 +28,8 @@
     private val times: LeaseTimes = LeaseTimes(),
 ) : AutoCloseable {
     private val requested = ConcurrentLinkedQueue<ServerOrder>()
-    private val sender = BoundedSender(client, times.sendTimeout, ::isSafe)
-    private val thread = RoleThread("orders $zone", ::step)
+    private val sender = BoundedSender(client, times.sendTimeout, lease::isSafeToSend)
+    private val thread = RoleThread("orders $zone", step = ::step)
     private var desk = OrderDesk(zone, times)
 
     fun start() = thread.start()
@@ -52,11 +52,6 @@
         return true
     }
 
-    private fun isSafe(fencing: Long): Boolean {
-        val held = lease.held() ?: return false
-        return held.fencing == fencing && held.isSafeToSend(now(), times)
-    }
-
     private fun answer(call: OrderCall): OrderAnswer =
         when (call) {
             is OrderCall.Load -> OrderAnswer.FromStore(store.answer(call.call))
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RoleThread.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RoleThread.kt
@@ -8,10 +8,13 @@
 import org.ragwortlever.core.store.StoreCall
 import org.ragwortlever.daemon.platform.KeyValueStore
 import kotlin.concurrent.thread
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs [step] again and again; a step that returns false had nothing to do. A step that throws is logged. */
 internal class RoleThread(
     private val name: String,
+    private val pause: Duration = PAUSE,
     private val step: () -> Boolean,
 ) : AutoCloseable {
     @Volatile
@@ -19,7 +22,7 @@
     private var thread: Thread? = null
 
     fun start() {
-        thread = thread(name = name, isDaemon = true) { while (!closed) if (!guardedStep()) Thread.sleep(IDLE_MILLISECONDS) }
+        thread = thread(name = name, isDaemon = true) { while (!closed) if (!guardedStep()) Thread.sleep(pause.inWholeMilliseconds) }
     }
 
     /** Lets the running step end, so that nothing is sent after the return. */
@@ -34,9 +37,11 @@
             false
         }
 
-    private companion object {
-        val logger = KotlinLogging.logger {}
-        const val IDLE_MILLISECONDS = 50L
+    companion object {
+        private val logger = KotlinLogging.logger {}
+
+        // Short against the times of the leases, which are seconds.
+        internal val PAUSE = 50.milliseconds
     }
 }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
@@ -0,0 +1,119 @@
+// Orders backend servers for the whole fleet while this node holds the duties' lease.
+package org.ragwortlever.daemon.role
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.ragwortlever.core.backend.BackendServer
+import org.ragwortlever.core.fleet.ServiceLoad
+import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.route.RoutingDocument
+import org.ragwortlever.core.route.ScalingRange
+import org.ragwortlever.core.scaling.ScalingPolicy
+import org.ragwortlever.core.scaling.ZoneServers
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** How many servers of one kind should run for [service] in [zone]. */
+data class CapacityOrder(
+    val service: String,
+    val zone: String,
+    val count: Int,
+    val isSpot: Boolean,
+)
+
+/** Sends orders to the ordering interface. */
+fun interface CapacityOrders {
+    fun send(
+        order: CapacityOrder,
+        fencing: Long,
+    ): SendOutcome
+}
+
+/** What the fleet looks like to whoever orders servers. */
+data class FleetState(
+    val document: RoutingDocument?,
+    val servers: List<BackendServer>,
+    val load: Map<String, ServiceLoad>,
+)
+
+internal class ScalingRole(
+    private val lease: DutyLease,
+    private val now: () -> Instant,
+    private val fleet: () -> FleetState,
+    private val orders: CapacityOrders,
+) : AutoCloseable {
+    private val thread = RoleThread("scaling", PAUSE, ::step)
+    private val policies = HashMap<String, ScalingPolicy>()
+    private val confirmed = HashMap<CapacityOrder, Instant>()
+    private var fencing = 0L
+
+    fun start() = thread.start()
+
+    override fun close() = thread.close()
+
+    private fun step(): Boolean {
+        val held = lease.held()?.takeIf { it.isInCharge(now()) } ?: return false
+        if (held.fencing != fencing) {
+            fencing = held.fencing
+            confirmed.clear()
+        }
+        val state = fleet()
+        state.document
+            ?.services
+            ?.values
+            ?.forEach { service -> service.scaling?.let { scale(service.name, it, state) } }
+        return false
+    }
+
+    private fun scale(
+        service: String,
+        range: ScalingRange,
+        state: FleetState,
+    ) {
+        val servers = state.servers.filter { it.service == service }
+        // Nothing is known of a service without servers yet: an order made now could stop those that start.
+        val zones = range.zonePrices.keys.ifEmpty { servers.mapTo(HashSet()) { it.zone } }.sorted()
+        if (servers.isEmpty()) return
+        val policy = policies.getOrPut(service) { ScalingPolicy() }
+        servers.filter { it.isSpot && it.isReclaimed }.forEach { policy.spotUnavailable(it.zone, now()) }
+        val running = zones.associateWith { zone -> servers.filter { it.zone == zone && !it.isDraining }.counts() }
+        val desired = policy.desired(range, state.load[service] ?: ServiceLoad(), zones, running, now())
+        desired.forEach { (zone, wanted) ->
+            if (range.spotPrice != null) order(CapacityOrder(service, zone, wanted.spot, isSpot = true), policy, state)
+            order(CapacityOrder(service, zone, wanted.ordinary, isSpot = false), policy, state)
+        }
+    }
+
+    private fun order(
+        order: CapacityOrder,
+        policy: ScalingPolicy,
+        state: FleetState,
+    ) {
+        val last = confirmed[order]
+        if (last != null && now() - last < REPEAT) return
+        val outcome = orders.send(order, fencing)
+        logger.info {
+            eventLine("capacity-order", "service" to order.service, "zone" to order.zone, "count" to order.count, "spot" to order.isSpot, "fencing" to fencing, "load" to state.load[order.service], "outcome" to outcome)
+        }
+        when {
+            outcome is SendOutcome.Answered && outcome.status == OK -> {
+                confirmed.keys.removeAll { it.service == order.service && it.zone == order.zone && it.isSpot == order.isSpot }
+                confirmed[order] = now()
+            }
+            outcome is SendOutcome.Answered && outcome.status == CONFLICT && order.isSpot -> policy.spotUnavailable(order.zone, now())
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        val PAUSE = 300.milliseconds
+
+        // An order holds until the next one; it is repeated for the case that its servers could not all be had.
+        val REPEAT = 15.seconds
+        const val OK = 200
+        const val CONFLICT = 409
+    }
+}
+
+private fun List<BackendServer>.counts() = ZoneServers(count { !it.isSpot }, count { it.isSpot })
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
@@ -5,7 +5,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
-import okhttp3.OkHttpClient
 import org.ragwortlever.core.lease.LeaseTimes
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.usage.ReporterAnswer
@@ -18,29 +17,50 @@
 import org.ragwortlever.core.usage.UsageKeys
 import org.ragwortlever.core.usage.UsageLedger
 import org.ragwortlever.core.usage.UsageReporter
-import org.ragwortlever.core.usage.flushInterval
+import org.ragwortlever.core.usage.UsageWindow
 import org.ragwortlever.daemon.platform.KeyValueStore
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
+/** Sends the figures of a sealed window to the usage-report interface. */
+fun interface UsageReports {
+    fun send(
+        sealed: SealedWindow,
+        fencing: Long,
+    ): SendOutcome
+}
+
+/**
+ * When usage is counted, flushed and reported.
+ *
+ * @property pause time between two looks whether something is due.
+ * @property grace time after a window's end in which nodes flush their counts before the window is closed.
+ */
+internal data class UsageTimes(
+    val windowLength: Duration = UsageWindow.DEFAULT_LENGTH,
+    val grace: Duration = 30.seconds,
+    val lease: LeaseTimes = LeaseTimes(),
+    val pause: Duration = RoleThread.PAUSE,
+)
+
 internal class UsageRole(
-    private val platform: String,
     private val store: KeyValueStore,
-    client: OkHttpClient,
-    private val lease: LeaseKeeper,
+    private val lease: DutyLease,
     private val now: () -> Instant,
     source: String,
-    private val nodes: () -> Int,
-    private val times: LeaseTimes = LeaseTimes(),
+    private val nextFlush: (Instant) -> Instant,
+    private val times: UsageTimes = UsageTimes(),
+    private val reports: UsageReports,
 ) : AutoCloseable {
-    private val ledger = AtomicReference(UsageLedger(source))
+    private val ledger = AtomicReference(UsageLedger(source, windowLength = times.windowLength))
     private val copies = AtomicReference(UsageCopies())
     private val deadSources = ConcurrentLinkedQueue<String>()
-    private val sender = BoundedSender(client, times.sendTimeout, ::isSafe)
-    private val flushThread = RoleThread("usage-flush", ::flushStep)
-    private val reportThread = RoleThread("usage-report", ::reportStep)
-    private var reporter = UsageReporter(times)
+    private val flushThread = RoleThread("usage-flush", times.pause, ::flushStep)
+    private val reportThread = RoleThread("usage-report", times.pause, ::reportStep)
+    private var reporter = UsageReporter(times.lease, times.grace, windowLength = times.windowLength)
     private var flushAt = now()
 
     fun start() {
@@ -90,7 +110,7 @@
 
     private fun flushStep(): Boolean {
         if (now() < flushAt) return false
-        flushAt = now() + flushInterval(nodes())
+        flushAt = nextFlush(now())
         flushAll()
         return true
     }
@@ -139,17 +159,12 @@
         sealed: SealedWindow,
         fencing: Long,
     ): ReporterAnswer {
-        val outcome = sender.put("$platform/usage/v1/windows/${sealed.window}", sealed.encode(), fencing)
+        val outcome = reports.send(sealed, fencing)
         logger.info { eventLine("usage-report", "window" to sealed.window, "parts" to sealed.parts.size, "outcome" to outcome) }
         val accepted = outcome is SendOutcome.Answered && outcome.status in 200..299
         return if (accepted) ReporterAnswer.Reported else ReporterAnswer.NotReported
     }
 
-    private fun isSafe(fencing: Long): Boolean {
-        val held = lease.held() ?: return false
-        return held.fencing == fencing && held.isSafeToSend(now(), times)
-    }
-
     private companion object {
         val logger = KotlinLogging.logger {}
     }
--- a/http/src/main/kotlin/org/ragwortlever/http/UndertowServer.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/UndertowServer.kt
@@ -49,19 +49,32 @@
 ) : ServerConfig {
     override val stopMode: StopMode = StopMode.Immediate
 
-    override fun toServer(http: HttpHandler): Http4kServer = RunningUndertow(host, port, limits, http)
+    override fun toServer(http: HttpHandler): Http4kServer = UndertowListeners(listOf(HttpListener(host, port, http)), limits)
 }
 
-private class RunningUndertow(
-    host: String,
-    port: Int,
+/**
+ * An address with its handler.
+ *
+ * @property isQuick whether the handler never blocks: it then runs on the connection's own thread, and answers also
+ *   while all worker threads are taken.
+ */
+data class HttpListener(
+    val host: String,
+    val port: Int,
+    val handler: HttpHandler,
+    val isQuick: Boolean = false,
+)
+
+/** Several listeners that share their threads; [port] is that of the first. */
+class UndertowListeners(
+    listeners: List<HttpListener>,
     limits: HttpLimits,
-    http: HttpHandler,
 ) : Http4kServer {
     private val undertow: Undertow =
-        Undertow
-            .builder()
-            .addHttpListener(port, host)
+        listeners
+            .fold(Undertow.builder()) { builder, listener ->
+                builder.addHttpListener(listener.port, listener.host, listener.rootHandler())
+            }
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.headerBytes)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleMilliseconds)
             .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
@@ -70,7 +83,6 @@
             .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
             .setIoThreads(IO_THREADS)
             .setWorkerThreads(limits.workerThreads)
-            .setHandler(BlockingHandler { exchange -> CallerWatch.during(exchange) { exchange.serve(http) } })
             .build()
 
     override fun start(): Http4kServer = apply { undertow.start() }
@@ -84,10 +96,33 @@
     }
 }
 
+private fun HttpListener.rootHandler(): io.undertow.server.HttpHandler {
+    if (isQuick) return io.undertow.server.HttpHandler { exchange -> exchange.answerQuickly(handler) }
+    return BlockingHandler { exchange ->
+        if (exchange.hasAmbiguousFraming()) exchange.refuseFraming() else CallerWatch.during(exchange) { exchange.serve(handler) }
+    }
+}
+
+/** Answers from memory on the connection's own thread. */
+private fun HttpServerExchange.answerQuickly(http: HttpHandler) {
+    val response = http(toRequest(Body.EMPTY))
+    statusCode = response.status.code
+    response.headers.forEach { (name, value) -> responseHeaders.add(HttpString(name), value.orEmpty()) }
+    responseSender.send(response.bodyString())
+}
+
+/** Nothing of what follows on the connection can be told apart from the body, so the connection ends with the answer. */
+private fun HttpServerExchange.refuseFraming() {
+    statusCode = BAD_REQUEST
+    isPersistent = false
+    responseHeaders.put(HttpString("Connection"), "close")
+    endExchange()
+}
+
 private fun HttpServerExchange.serve(http: HttpHandler) {
     val response =
         try {
-            http(toRequest())
+            http(toRequest(Body(inputStream, requestContentLength.takeIf { it >= 0 })))
         } catch (_: IOException) {
             // The handler could not answer on this connection; an answer made up here would be taken for its own.
             connection.close()
@@ -109,12 +144,12 @@
     }
 }
 
-private fun HttpServerExchange.toRequest(): Request =
+private fun HttpServerExchange.toRequest(content: Body): Request =
     requestHeaders
         .flatMap { values -> values.map { values.headerName.toString() to it } }
         .fold(
             Request(Method.valueOf(requestMethod.toString()), Uri("", "", "", null, undecodedPath(), queryString, ""))
-                .body(Body(inputStream, requestContentLength.takeIf { it >= 0 }))
+                .body(content)
                 .source(RequestSource(sourceAddress.hostString, sourceAddress.port)),
         ) { request, (name, value) -> request.header(name, value) }
 
@@ -136,3 +171,4 @@
 }
 
 private const val COPY_BUFFER_BYTES = 8192
+private const val BAD_REQUEST = 400
