Test the decisions on routed requests and bound cold starts for any number of VMs

Cause: the decisions had no tests. The property of the cold bound failed at once (13 VMs, 13.7 requests a second: 26 sends in a second where 25.5 are borne): every sender could begin a second with one request more than its rate. Change: the number of senders also keeps within the tolerated part.

--- a/core/src/main/kotlin/org/ragwortlever/core/backend/ColdBudget.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ColdBudget.kt
@@ -38,7 +38,18 @@
         id: String,
         perSecond: Double,
         nodes: Set<String>,
-    ): Int = minOf(maxOf(1, nodes.size), maxOf(1, perSecond.toInt())).takeIf { id.isNotEmpty() && perSecond > 0 } ?: 0
+    ): Int {
+        if (id.isEmpty() || perSecond <= 0) return 0
+        // Each sender can begin a second with one request more than its rate.
+        val mostAtOnce = (perSecond * TOLERATED_PART + TOLERATED_REQUESTS).toInt()
+        return minOf(maxOf(1, nodes.size), maxOf(1, perSecond.toInt()), mostAtOnce)
+    }
+
+    private companion object {
+        // The platform counts an overload only beyond one and a half times the rate and five requests.
+        const val TOLERATED_PART = 0.5
+        const val TOLERATED_REQUESTS = 5
+    }
 
     private fun isSender(
         id: String,
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -1,8 +1,8 @@
 // The events that the dispatcher takes and the effects that it asks for.
 package org.ragwortlever.core.dispatch
 
-import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.backend.KnownServer
+import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.route.Route
 import org.ragwortlever.core.route.ServiceDefinition
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -15,8 +15,8 @@
 import org.ragwortlever.core.retry.CrashSuspects
 import org.ragwortlever.core.route.RouteKind
 import org.ragwortlever.core.route.ServiceDefinition
-import kotlin.time.Duration
 import kotlin.math.roundToInt
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -153,7 +153,11 @@
         val request = opened.request
         val best = request.services.firstNotNullOfOrNull { choose(opened, it, now) }
         if (best == null) {
-            refuse(opened, if (opened.mayHaveRun) failed(ServerFailure.UNREACHABLE) else unavailable("no backend server can take it"), effects)
+            refuse(
+                opened,
+                if (opened.mayHaveRun) failed(ServerFailure.UNREACHABLE) else unavailable("no backend server can take it"),
+                effects,
+            )
             return
         }
         val server = best.server
@@ -162,7 +166,9 @@
         opened.running = attempt
         server.running[request.key] = attempt
         server.sent(request.parts, now)
-        readRates.getOrPut(server.known.server.service) { DecayedRate(LOAD_HALF_LIFE) }.add(best.uncachedTokens / PROMPT_TOKENS_PER_SECOND, now)
+        readRates.getOrPut(server.known.server.service) {
+            DecayedRate(LOAD_HALF_LIFE)
+        }.add(best.uncachedTokens / PROMPT_TOKENS_PER_SECOND, now)
         if (server.isCold(now)) cold.sent(server.id, now)
         effects += DispatchEffect.Send(request.key, server.known, attempt.number, patience(opened, now), "score=%.3f".format(best.seconds))
     }
@@ -179,7 +185,15 @@
                     server.id !in opened.failed &&
                     (!server.isCold(now) || cold.allows(server.id, service.coldPerSecond, nodes, now))
             }
-        val fresh = possible.filter { it.id !in opened.refused }.ifEmpty { if (opened.refused.size > possible.size) emptyList() else possible }
+        val fresh = possible.filter { it.id !in opened.refused }.ifEmpty {
+            if (opened.refused.size >
+                possible.size
+            ) {
+                emptyList()
+            } else {
+                possible
+            }
+        }
         val sound = fresh.filter { now >= it.health.avoidUntil }.ifEmpty { fresh }
         return scoreServers(opened.request, sound, ScoreContext(options.zone, nodes.size), now).firstOrNull()
     }
--- a/core/src/main/kotlin/org/ragwortlever/core/route/RouteTable.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/route/RouteTable.kt
@@ -5,7 +5,11 @@
 class RouteTable(
     val document: RoutingDocument,
 ) {
-    private val routesByHost = document.routes.groupBy { it.host.lowercase() }.mapValues { it.value.sortedByDescending { route -> route.prefix.length } }
+    private val routesByHost = document.routes.groupBy { it.host.lowercase() }.mapValues {
+        it.value.sortedByDescending { route ->
+            route.prefix.length
+        }
+    }
     private val accountsByKey = document.accounts.flatMap { account -> account.keys.map { it to account } }.toMap()
 
     /** Whether requests need a key, unless their route is open. */
--- a/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -68,7 +68,9 @@
         return ZoneServers(minOf(ordinary, range.maximum - count).coerceAtLeast(0), count)
     }
 
-    private fun needed(load: ServiceLoad): Int = ceil(load.readSeconds / READ_SECONDS_PER_SERVER + load.running / RUNNING_PER_SERVER).toInt()
+    private fun needed(load: ServiceLoad): Int = ceil(
+        load.readSeconds / READ_SECONDS_PER_SERVER + load.running / RUNNING_PER_SERVER,
+    ).toInt()
 
     /** The highest need of the last while: bursts come back, and a server that leaves takes its cached prompts with it. */
     private fun heldPeak(
--- a/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
@@ -68,7 +68,10 @@
         addresses.filterValues { !ADDRESS.matches(it) }.map { (name, _) -> located.errorAt("$.$name", "must be IP address:port") } +
             listOfNotNull(
                 located.errorAt("$.nodeId", "must not be blank").takeIf { settings.nodeId.isBlank() },
-                located.errorAt("$.duties", "must be IP address:port or empty").takeIf { settings.duties.isNotEmpty() && !ADDRESS.matches(settings.duties) },
+                located.errorAt("$.duties", "must be IP address:port or empty").takeIf {
+                    settings.duties.isNotEmpty() &&
+                        !ADDRESS.matches(settings.duties)
+                },
                 located.errorAt("$.metricsPort", "must be from 0 to 65535").takeIf { settings.metricsPort !in 0..65535 },
                 located.errorAt("$.bounds.gracePeriodSeconds", "must be positive").takeIf { settings.bounds.gracePeriodSeconds <= 0 },
                 located.errorAt("$.bounds.leaseSeconds", "must be at least 1").takeIf { settings.bounds.leaseSeconds < 1 },
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatchWorld.kt
@@ -0,0 +1,68 @@
+// A dispatcher with a clock, backend servers and requests for tests.
+package org.ragwortlever.core.dispatch
+
+import org.ragwortlever.core.backend.BackendServer
+import org.ragwortlever.core.backend.KnownServer
+import org.ragwortlever.core.backend.server
+import org.ragwortlever.core.route.Route
+import org.ragwortlever.core.route.RouteKind
+import org.ragwortlever.core.route.ServiceDefinition
+import org.ragwortlever.core.route.WeightedService
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+internal class DispatchWorld(
+    node: String = "vm-1",
+    repeats: RepeatBound = RepeatBound(),
+) {
+    val start = Instant.fromEpochSeconds(1000)
+    var now = start
+    val dispatcher = Dispatcher(DispatchOptions(node, "a", repeats))
+    private var nextKey = 0L
+
+    fun servers(vararg servers: BackendServer) {
+        handle(DispatchEvent.ServersChanged(servers.map { KnownServer(it, now + it.coldFor) }))
+    }
+
+    fun engines(count: Int) = servers(*(1..count).map { server("engine-$it", zone = "abc"[it % 3].toString()) }.toTypedArray())
+
+    fun handle(event: DispatchEvent): List<DispatchEffect> = dispatcher.handle(event, now)
+
+    fun request(
+        kind: RouteKind = RouteKind.STREAM,
+        attempts: Int = 2,
+        isResumable: Boolean = false,
+        parts: List<PromptPart> = emptyList(),
+        digest: String = "",
+        tier: Int = 1,
+        patience: Duration = 5.seconds,
+        service: String = "engines",
+    ): RoutedRequest {
+        val target = WeightedService(service, 1)
+        val route =
+            Route("route", "host", "/", listOf(target), kind, patience, 1.seconds, maximumAttempts = attempts, isResumable = isResumable)
+        val definition = ServiceDefinition(service, 100, coldPerSecond = 8.0)
+        val key = ++nextKey
+        return RoutedRequest(key, "request-$key", route, listOf(definition), "account", tier, parts, 100, digest, now + patience)
+    }
+
+    /** Submits [request] and returns the server that it was sent to, or null when it was refused. */
+    fun submit(request: RoutedRequest): String? = sentTo(handle(DispatchEvent.Submit(request)))
+
+    /** Ends the attempt and returns the server of the next one, or null when the request was refused or is over. */
+    fun end(
+        request: RoutedRequest,
+        end: AttemptEnd,
+    ): String? = sentTo(handle(DispatchEvent.AttemptEnded(request.key, end)))
+
+    fun sentTo(effects: List<DispatchEffect>): String? =
+        effects
+            .filterIsInstance<DispatchEffect.Send>()
+            .singleOrNull()
+            ?.server
+            ?.server
+            ?.id
+}
+
+internal fun List<DispatchEffect>.refusal() = filterIsInstance<DispatchEffect.Refuse>().single().refusal
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatcherTest.kt
@@ -0,0 +1,142 @@
+package org.ragwortlever.core.dispatch
+
+import org.junit.jupiter.api.Test
+import org.ragwortlever.core.backend.ServerFailure
+import org.ragwortlever.core.backend.server
+import org.ragwortlever.core.error.ErrorKind
+import org.ragwortlever.core.error.Executed
+import org.ragwortlever.core.route.RouteKind
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class DispatcherTest {
+    private val world = DispatchWorld()
+
+    @Test
+    fun `given no backend server, when a request comes, then it is refused at once as not run and with a time to come back`() {
+        val refusal = world.handle(DispatchEvent.Submit(world.request())).refusal()
+        expectThat(refusal) {
+            get { kind }.isEqualTo(ErrorKind.NO_BACKEND_SERVER)
+            get { executed }.isEqualTo(Executed.NO)
+            get { retryAfterSeconds }.isNotNull()
+        }
+    }
+
+    @Test
+    fun `given a request that may run once, when its attempt may have run, then it is never sent again nor called not run`() {
+        world.engines(3)
+        val request = world.request(RouteKind.AT_MOST_ONCE)
+        world.submit(request)
+        val effects = world.handle(DispatchEvent.AttemptEnded(request.key, AttemptEnd.Failed(ServerFailure.BROKEN)))
+        expectThat(world.sentTo(effects)).isNull()
+        expectThat(effects.refusal()) {
+            get { executed }.isEqualTo(Executed.UNKNOWN)
+            get { kind }.isEqualTo(ErrorKind.BACKEND_SERVER_FAILED)
+        }
+    }
+
+    @Test
+    fun `given a request that may run once, when a server proves that it did not run, then another server gets it`() {
+        world.engines(3)
+        val request = world.request(RouteKind.AT_MOST_ONCE, attempts = 1)
+        val first = world.submit(request)
+        val second = world.end(request, AttemptEnd.NotRun(ServerFailure.BUSY))
+        expectThat(second).isNotNull().isNotEqualTo(first)
+    }
+
+    @Test
+    fun `given two attempts, when both may have run, then a third server is not asked`() {
+        world.engines(5)
+        val request = world.request(RouteKind.IDEMPOTENT, attempts = 2)
+        val first = world.submit(request)
+        val second = world.end(request, AttemptEnd.Failed(ServerFailure.BROKEN))
+        expectThat(second).isNotNull().isNotEqualTo(first)
+        expectThat(world.end(request, AttemptEnd.Failed(ServerFailure.BROKEN))).isNull()
+    }
+
+    @Test
+    fun `given a stream that can't be resumed, when it breaks, then it is not begun anew elsewhere`() {
+        world.engines(3)
+        val request = world.request(isResumable = false)
+        world.submit(request)
+        expectThat(world.end(request, AttemptEnd.Failed(ServerFailure.BROKEN))).isNull()
+    }
+
+    @Test
+    fun `given a resumable stream that broke before an event that could be named, then it is not joined from two runs`() {
+        world.engines(3)
+        val request = world.request(isResumable = true)
+        world.submit(request)
+        expectThat(world.end(request, AttemptEnd.Failed(ServerFailure.BROKEN, canResume = false))).isNull()
+    }
+
+    @Test
+    fun `given a zone that is taken out, when requests come, then its servers get none`() {
+        world.servers(server("one", zone = "a"), server("two", zone = "b"))
+        world.handle(DispatchEvent.ZonesTakenOut(setOf("a")))
+        repeat(20) { expectThat(world.submit(world.request())).isEqualTo("two") }
+    }
+
+    @Test
+    fun `given a safe request with a second attempt, when it hears nothing, then it has time for another server`() {
+        world.engines(2)
+        val effects = world.handle(DispatchEvent.Submit(world.request(RouteKind.IDEMPOTENT, attempts = 2, patience = 2.seconds)))
+        val patience = (effects.single() as DispatchEffect.Send).patience
+        expectThat(checkNotNull(patience)).isLessThanOrEqualTo(1.seconds)
+    }
+
+    @Test
+    fun `given servers that all fail, when requests come, then repeats stay within the bound of the service`() {
+        val bounded = DispatchWorld(repeats = RepeatBound(ratio = 0.2, extra = 14.0, window = 10.seconds))
+        bounded.handle(DispatchEvent.NodesChanged((1..7).map { "vm-$it" }.toSet()))
+        bounded.engines(6)
+        var repeats = 0
+        repeat(100) {
+            val request = bounded.request(RouteKind.IDEMPOTENT)
+            bounded.submit(request)
+            if (bounded.end(request, AttemptEnd.Failed(ServerFailure.ERROR)) != null) repeats++
+            bounded.now += 100.milliseconds
+        }
+        // One of seven VMs: its part of the constant and a fifth of its own requests.
+        expectThat(repeats).isLessThanOrEqualTo(20 + 2)
+    }
+
+    @Test
+    fun `given a request that crashed servers, when equal ones come again, then they are refused and others are served`() {
+        world.engines(6)
+        listOf("b" to "engine-1", "c" to "engine-2").forEach { (zone, server) ->
+            world.handle(DispatchEvent.CrashReported(server, zone, setOf("poison")))
+            world.now += 10.seconds
+        }
+        expectThat(world.handle(DispatchEvent.Submit(world.request(digest = "poison"))).refusal().kind).isEqualTo(ErrorKind.REQUEST_QUARANTINED)
+        expectThat(world.submit(world.request(digest = "harmless"))).isNotNull()
+    }
+
+    @Test
+    fun `given a caller that has gone, when its attempt ends, then nothing is sent for it`() {
+        world.engines(3)
+        val request = world.request(RouteKind.IDEMPOTENT)
+        world.submit(request)
+        world.handle(DispatchEvent.CallerGone(request.key))
+        expectThat(world.handle(DispatchEvent.AttemptEnded(request.key, AttemptEnd.Failed(ServerFailure.BROKEN)))).isEqualTo(emptyList())
+        expectThat(world.dispatcher.openRequests).isEqualTo(0)
+    }
+
+    @Test
+    fun `given a server that came back under its id, when its health was bad before, then it starts anew`() {
+        world.servers(server("one"), server("two"))
+        repeat(4) {
+            val request = world.request(RouteKind.AT_MOST_ONCE)
+            world.submit(request)
+            world.end(request, AttemptEnd.Failed(ServerFailure.BROKEN))
+        }
+        world.servers(server("one", incarnation = 2))
+        expectThat(world.submit(world.request())).isEqualTo("one")
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/PromptAffinityTest.kt
@@ -0,0 +1,62 @@
+package org.ragwortlever.core.dispatch
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Pattern: many long prompts that share their first part arrive at several entry VMs that don't know of each other's. */
+class PromptAffinityTest {
+    private fun parts(shared: String) = listOf(PromptPart(shared, 6300), PromptPart("own-${next++}", 2900))
+
+    private var next = 0
+
+    @Test
+    fun `given calm traffic, when several VMs send prompts with the same first part, then one server reads it for all`() {
+        val worlds = (1..7).map { DispatchWorld("vm-$it").apply { engines(6) } }
+        val chosen =
+            (0 until 70).map { number ->
+                val world = worlds[number % worlds.size]
+                val request = world.request(parts = parts("dossier"))
+                world.submit(request).also { world.end(request, AttemptEnd.Answered) }
+            }
+        expectThat(chosen.toSet()).hasSize(1)
+    }
+
+    @Test
+    fun `given many different first parts, then all servers get some`() {
+        val world = DispatchWorld().apply { engines(6) }
+        val chosen =
+            (0 until 60).map { number ->
+                val request = world.request(parts = parts("dossier-$number"))
+                world.submit(request).also { world.end(request, AttemptEnd.Answered) }
+            }
+        expectThat(chosen.toSet()).hasSize(6)
+        expectThat(chosen.groupingBy { it }.eachCount().values.max()).isLessThanOrEqualTo(30)
+    }
+
+    @Test
+    fun `given a burst about one part, when its server has unread prompts, then others help`() {
+        val world = DispatchWorld().apply { engines(6) }
+        val chosen = (0 until 30).map { world.submit(world.request(parts = parts("dossier"))) }
+        expectThat(chosen.toSet().size).isGreaterThan(3)
+    }
+
+    @Test
+    fun `given a burst that is over, when prompts with the same part come one by one, then they meet again`() {
+        val world = DispatchWorld().apply { engines(6) }
+        val burst = (0 until 30).map { world.request(parts = parts("dossier")) }
+        burst.forEach { world.submit(it) }
+        burst.forEach { world.end(it, AttemptEnd.Answered) }
+        val after =
+            (0 until 10).map {
+                world.now += 500.milliseconds
+                val request = world.request(parts = parts("dossier"))
+                world.submit(request).also { world.end(request, AttemptEnd.Answered) }
+            }
+        expectThat(after.toSet().size).isEqualTo(1)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortlever/core/route/RouteTableTest.kt
@@ -0,0 +1,64 @@
+package org.ragwortlever.core.route
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.seconds
+
+class RouteTableTest {
+    private fun route(
+        name: String,
+        host: String,
+        prefix: String,
+        vararg targets: WeightedService,
+    ) = Route(name, host, prefix, targets.toList(), RouteKind.IDEMPOTENT, 1.seconds, 1.seconds)
+
+    private fun service(name: String) = ServiceDefinition(name, connectionLimit = 10, coldPerSecond = 1.0)
+
+    private val table =
+        RouteTable(
+            RoutingDocument(
+                version = 3,
+                routes =
+                    listOf(
+                        route("short", "a.example", "/orders/", WeightedService("one", 1)),
+                        route("long", "a.example", "/orders/new/", WeightedService("one", 3), WeightedService("two", 1)),
+                    ),
+                services = listOf("one", "two").associateWith(::service),
+                accounts = listOf(AccountDefinition("mill", setOf("key-1", "key-2"), tier = 1)),
+            ),
+        )
+
+    @Test
+    fun `given two prefixes that begin a path, when it is matched, then the longest one wins`() {
+        expectThat(table.match("a.example", "/orders/new/7")?.name).isEqualTo("long")
+        expectThat(table.match("a.example", "/orders/7")?.name).isEqualTo("short")
+    }
+
+    @Test
+    fun `given a host with a port in other case, when it is matched, then the port and the case don't matter`() {
+        expectThat(table.match("A.Example:8080", "/orders/7")?.name).isEqualTo("short")
+    }
+
+    @Test
+    fun `given a path that only shares letters with a prefix, when it is matched, then there is no route`() {
+        expectThat(table.match("a.example", "/orders")).isNull()
+        expectThat(table.match("b.example", "/orders/7")).isNull()
+    }
+
+    @Test
+    fun `given weights 3 and 1, when positions are spread evenly, then a quarter goes to the second service first`() {
+        val route = checkNotNull(table.match("a.example", "/orders/new/7"))
+        val firsts = (0 until 100).map { table.servicesFor(route, it / 100.0).first().name }
+        expectThat(firsts.count { it == "two" }).isEqualTo(25)
+        expectThat(table.servicesFor(route, 0.9).map { it.name }).containsExactly("two", "one")
+    }
+
+    @Test
+    fun `given an account with two keys, when either is looked up, then it names the account`() {
+        expectThat(table.accountOf("key-2")?.name).isEqualTo("mill")
+        expectThat(table.accountOf("key-3")).isNull()
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
@@ -0,0 +1,61 @@
+package org.ragwortlever.core.scaling
+
+import org.junit.jupiter.api.Test
+import org.ragwortlever.core.fleet.ServiceLoad
+import org.ragwortlever.core.route.ScalingRange
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class ScalingPolicyTest {
+    private val start = Instant.fromEpochSeconds(1000)
+    private val zones = listOf("a", "b", "c")
+    private val range = ScalingRange(1, 4, 4.seconds, spotPrice = 0.15, zonePrices = mapOf("a" to 1.0, "b" to 0.8, "c" to 1.25))
+    private val policy = ScalingPolicy()
+    private val idle = ServiceLoad()
+
+    private fun desired(
+        load: ServiceLoad,
+        running: ZoneServers,
+        seconds: Int = 0,
+    ) = policy.desired(range, load, zones, zones.associateWith { running }, start + seconds.seconds)
+
+    @Test
+    fun `given an idle service, then each zone keeps two servers, so that one may be lost`() {
+        expectThat(desired(idle, ZoneServers(0, 2)).values).all { isEqualTo(ZoneServers(0, 2)) }
+    }
+
+    @Test
+    fun `given ordinary servers before spot ones have started, then the ordinary ones stay`() {
+        expectThat(desired(idle, ZoneServers(2, 0)).values).all { isEqualTo(ZoneServers(2, 2)) }
+        expectThat(desired(idle, ZoneServers(2, 1)).values).all { isEqualTo(ZoneServers(1, 2)) }
+    }
+
+    @Test
+    fun `given a burst, when it ends, then servers stay for the next one and leave later`() {
+        val burst = ServiceLoad(readSeconds = 2.0, running = 20)
+        expectThat(desired(burst, ZoneServers(0, 2)).values.sumOf { it.total }).isEqualTo(12)
+        expectThat(desired(idle, ZoneServers(0, 4), seconds = 5).values.sumOf { it.total }).isEqualTo(12)
+        expectThat(desired(idle, ZoneServers(0, 4), seconds = 20).values.sumOf { it.total }).isEqualTo(6)
+    }
+
+    @Test
+    fun `given a zone whose spot servers are taken away, then ordinary ones replace them there and nowhere else`() {
+        policy.spotUnavailable("b", start)
+        val desired = desired(idle, ZoneServers(0, 2))
+        expectThat(desired["b"]).isEqualTo(ZoneServers(2, 0))
+        expectThat(desired["a"]).isEqualTo(ZoneServers(0, 2))
+        expectThat(desired(idle, ZoneServers(2, 0), seconds = 10)["b"]).isEqualTo(ZoneServers(2, 2))
+    }
+
+    @Test
+    fun `given any load, then a zone never gets more than its maximum of both kinds together`() {
+        for (ordinary in 0..4) {
+            val wanted = desired(ServiceLoad(readSeconds = 9.0, running = 500), ZoneServers(ordinary, 0))
+            expectThat(wanted.values).all { get { range.maximum - total }.isGreaterThanOrEqualTo(0) }
+        }
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -98,7 +98,14 @@
                 answered()
                 view.replaceAll(read.entries.mapNotNull(::decode), now())
                 revision = read.revision
-                logger.info { eventLine("fleet-read", "revision" to read.revision, "servers" to view.servers.all.size, "nodes" to view.nodes.size) }
+                logger.info {
+                    eventLine(
+                        "fleet-read",
+                        "revision" to read.revision,
+                        "servers" to view.servers.all.size,
+                        "nodes" to view.nodes.size,
+                    )
+                }
                 listener.changed(view, FleetChange.entries.toSet())
                 true
             },
@@ -110,7 +117,9 @@
             success = { answer ->
                 answered()
                 when (answer) {
-                    is StoreChanges.Since -> apply(answer)
+                    is StoreChanges.Since -> {
+                        apply(answer)
+                    }
                     StoreChanges.HistoryGone -> {
                         logger.warn { eventLine("fleet-history-gone", "revision" to from) }
                         revision = null
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -129,7 +129,14 @@
         duties?.close()
         val callersKeepAddress = began + CALLERS_KEEP_ADDRESS
         while (clock.now() < end && (open.count > 0 || clock.now() < callersKeepAddress)) Thread.sleep(DRAIN_POLL.inWholeMilliseconds)
-        logger.info { eventLine("stopped", "node" to settings.nodeId, "open" to open.count, "ms" to (clock.now() - began).inWholeMilliseconds) }
+        logger.info {
+            eventLine(
+                "stopped",
+                "node" to settings.nodeId,
+                "open" to open.count,
+                "ms" to (clock.now() - began).inWholeMilliseconds,
+            )
+        }
     }
 
     override fun close() {
@@ -189,7 +196,14 @@
             val document = view.document ?: return
             if (table?.document?.version == document.version) return
             table = RouteTable(document)
-            logger.info { eventLine("configured", "version" to document.version, "routes" to document.routes.size, "accounts" to document.accounts.size) }
+            logger.info {
+                eventLine(
+                    "configured",
+                    "version" to document.version,
+                    "routes" to document.routes.size,
+                    "accounts" to document.accounts.size,
+                )
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
@@ -36,7 +36,9 @@
         thread =
             thread(name = "node-registration", isDaemon = true) {
                 while (!closed) {
-                    val kept = runCatching(::keep).onFailure { logger.error { eventLine("registration-failed", "error" to it) } }.getOrDefault(false)
+                    val kept = runCatching(::keep).onFailure {
+                        logger.error { eventLine("registration-failed", "error" to it) }
+                    }.getOrDefault(false)
                     runCatching { Thread.sleep((if (kept) RENEWAL else RETRY).inWholeMilliseconds) }
                 }
             }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
@@ -87,7 +87,15 @@
     ): Response {
         val took = now() - arrival
         logger.info {
-            eventLine("refused", "request" to id, "route" to route, "kind" to refusal.kind.code, "executed" to refusal.executed, "detail" to refusal.detail, "ms" to took.inWholeMilliseconds)
+            eventLine(
+                "refused",
+                "request" to id,
+                "route" to route,
+                "kind" to refusal.kind.code,
+                "executed" to refusal.executed,
+                "detail" to refusal.detail,
+                "ms" to took.inWholeMilliseconds,
+            )
         }
         val response = refusal.toResponse(id)
         observer.answered(route, response.status.code, took, took)
@@ -161,11 +169,19 @@
             val status = base.status.code
             ended(AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR), "status $status")
             when (val decision = ticket.awaitDecision()) {
-                is DispatchEffect.Send -> return attempt(decision)
+                is DispatchEffect.Send -> {
+                    return attempt(decision)
+                }
                 else -> {
                     gateway.release(ticket)
                     val promises = status in NOT_RUN_STATUSES
-                    val response = if (promises) return refused(MAY_HAVE_RUN) else base.body(Body(content.inputStream(), content.size.toLong()))
+                    val response = if (promises) {
+                        return refused(
+                            MAY_HAVE_RUN,
+                        )
+                    } else {
+                        base.body(Body(content.inputStream(), content.size.toLong()))
+                    }
                     return finishLogged(response, status, now() - arrival)
                 }
             }
@@ -187,7 +203,13 @@
             status: Int,
             first: Duration,
         ): Response {
-            val end = if (status >= SERVER_ERROR) AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR, canResume = false) else AttemptEnd.Answered
+            val end = if (status >=
+                SERVER_ERROR
+            ) {
+                AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR, canResume = false)
+            } else {
+                AttemptEnd.Answered
+            }
             gateway.post(DispatchEvent.AttemptEnded(request.key, end))
             gateway.release(ticket)
             if (status in NOT_RUN_STATUSES) return refused(MAY_HAVE_RUN)
@@ -201,7 +223,14 @@
         ): Response {
             val took = now() - arrival
             logger.info {
-                eventLine("answered", "request" to request.id, "route" to request.route.name, "status" to status, "first-ms" to first.inWholeMilliseconds, "ms" to took.inWholeMilliseconds)
+                eventLine(
+                    "answered",
+                    "request" to request.id,
+                    "route" to request.route.name,
+                    "status" to status,
+                    "first-ms" to first.inWholeMilliseconds,
+                    "ms" to took.inWholeMilliseconds,
+                )
             }
             observer.answered(request.route.name, status, first, took)
             return response
@@ -215,7 +244,18 @@
             val timeLeft = request.deadline - now()
             val timeout = minOf(timeLeft, send.patience ?: timeLeft)
             logger.info {
-                eventLine("routed", "request" to request.id, "route" to request.route.name, "account" to request.account, "server" to send.server.server.id, "attempt" to send.attempt, "reason" to send.reason, "server-sequence" to send.server.server.sequence, "left-ms" to timeLeft.inWholeMilliseconds, "after" to lastEventId)
+                eventLine(
+                    "routed",
+                    "request" to request.id,
+                    "route" to request.route.name,
+                    "account" to request.account,
+                    "server" to send.server.server.id,
+                    "attempt" to send.attempt,
+                    "reason" to send.reason,
+                    "server-sequence" to send.server.server.sequence,
+                    "left-ms" to timeLeft.inWholeMilliseconds,
+                    "after" to lastEventId,
+                )
             }
             val mark = SendMark()
             val headers = AttemptHeaders(request.account, request.tier.takeIf { request.parts.isNotEmpty() }, lastEventId)
@@ -240,7 +280,15 @@
             end: AttemptEnd,
             detail: String,
         ) {
-            logger.info { eventLine("attempt-failed", "request" to request.id, "end" to end, "detail" to detail, "ms" to (now() - arrival).inWholeMilliseconds) }
+            logger.info {
+                eventLine(
+                    "attempt-failed",
+                    "request" to request.id,
+                    "end" to end,
+                    "detail" to detail,
+                    "ms" to (now() - arrival).inWholeMilliseconds,
+                )
+            }
             gateway.post(DispatchEvent.AttemptEnded(request.key, end))
         }
 
@@ -283,6 +331,7 @@
         // To callers these statuses promise that the request has not run; a server's own may mean something else.
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
         val NO_CONFIGURATION = Refusal(ErrorKind.CONFIGURATION_STALE, "no configuration has been read yet", Executed.NO, 1)
-        val MAY_HAVE_RUN = Refusal(ErrorKind.OUTCOME_UNKNOWN, "the backend server refused it without saying that it did not run", Executed.UNKNOWN)
+        val MAY_HAVE_RUN =
+            Refusal(ErrorKind.OUTCOME_UNKNOWN, "the backend server refused it without saying that it did not run", Executed.UNKNOWN)
     }
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestParser.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestParser.kt
@@ -37,8 +37,15 @@
         val path = request.uri.path
         val route = table.match(host, path) ?: return Err(Refusal(ErrorKind.NOT_FOUND, "no route of host $host begins path $path"))
         val account = accountOf(request, route, table)
-        if (account == null && table.requiresKeys && !route.isOpen) return Err(Refusal(ErrorKind.INVALID_KEY, "no client account has this key"))
-        val patience = request.header(names.deadlineMilliseconds)?.let { it.toLongOrNull() ?: return malformed("header ${names.deadlineMilliseconds}: must be a number of milliseconds") }
+        if (account == null && table.requiresKeys &&
+            !route.isOpen
+        ) {
+            return Err(Refusal(ErrorKind.INVALID_KEY, "no client account has this key"))
+        }
+        val patience = request.header(names.deadlineMilliseconds)?.let {
+            it.toLongOrNull()
+                ?: return malformed("header ${names.deadlineMilliseconds}: must be a number of milliseconds")
+        }
         val wait = minOf(route.timeout, patience?.milliseconds ?: route.timeout)
         val position = (id.hashCode() and Int.MAX_VALUE) / (Int.MAX_VALUE + 1.0)
         val pathAndQuery = path + request.uri.query.let { if (it.isEmpty()) "" else "?$it" }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -132,7 +132,11 @@
         requestId: String,
     ): AttemptStart.Ended? {
         if (response.code == MISDIRECTED) return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.REPLACED), "another server")
-        if (response.header(names.notRun) != null) return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.BUSY), "status ${response.code}")
+        if (response.header(names.notRun) !=
+            null
+        ) {
+            return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.BUSY), "status ${response.code}")
+        }
         val answers = response.header(names.requestId)
         if (answers != null && answers != requestId) return broken("the answer belongs to request $answers")
         if (response.header("Content-Encoding") != null) return broken("the answer is encoded")
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
@@ -94,14 +94,25 @@
         if (last != null && now() - last < REPEAT) return
         val outcome = orders.send(order, fencing)
         logger.info {
-            eventLine("capacity-order", "service" to order.service, "zone" to order.zone, "count" to order.count, "spot" to order.isSpot, "fencing" to fencing, "load" to state.load[order.service], "outcome" to outcome)
+            eventLine(
+                "capacity-order",
+                "service" to order.service,
+                "zone" to order.zone,
+                "count" to order.count,
+                "spot" to order.isSpot,
+                "fencing" to fencing,
+                "load" to state.load[order.service],
+                "outcome" to outcome,
+            )
         }
         when {
             outcome is SendOutcome.Answered && outcome.status == OK -> {
                 confirmed.keys.removeAll { it.service == order.service && it.zone == order.zone && it.isSpot == order.isSpot }
                 confirmed[order] = now()
             }
-            outcome is SendOutcome.Answered && outcome.status == CONFLICT && order.isSpot -> policy.spotUnavailable(order.zone, now())
+            outcome is SendOutcome.Answered && outcome.status == CONFLICT && order.isSpot -> {
+                policy.spotUnavailable(order.zone, now())
+            }
         }
     }
 
