Keep long prompts apart from live conversations and share crashes between VMs

An engine reads prompts in chunks between the tokens of its answers, and a few long prompts in a row stall them for longer than half a second. Affinity went by the first prompt part, of which there are four only. Change: engines of a service are divided between long and short prompts, affinity goes by the longest shared beginning, and spot servers keep a floor of three a zone. Crashes count only when the server's process proves gone, and go to the other VMs through the store.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -66,7 +66,7 @@
             is DispatchEvent.FirstByte -> open[event.key]?.running?.firstByteAt = now
             is DispatchEvent.AttemptEnded -> ended(event, now, effects)
             is DispatchEvent.CallerGone -> close(event.key)
-            is DispatchEvent.ServersChanged -> replaceServers(event.servers)
+            is DispatchEvent.ServersChanged -> replaceServers(event.servers, now, effects)
             is DispatchEvent.ZonesTakenOut -> zonesTakenOut = event.zones
             is DispatchEvent.NodesChanged -> replaceNodes(event.nodes)
             is DispatchEvent.CrashReported -> event.digests.forEach { suspects.failed(it, event.server, event.zone, now) }
@@ -107,6 +107,7 @@
             }
             is AttemptEnd.NotRun -> {
                 attempt.server.health.failed(end.failure, now)
+                if (end.failure == ServerFailure.UNREACHABLE) confirmCrash(attempt.server, now, effects)
                 opened.refused += attempt.server.id
                 repeat(opened, end.failure, mayHaveRun = opened.mayHaveRun, now, effects)
             }
@@ -114,7 +115,7 @@
                 attempt.server.health.failed(end.failure, now)
                 opened.mayHaveRun = true
                 opened.failed += attempt.server.id
-                if (end.failure == ServerFailure.BROKEN) reportCrash(attempt, now, effects)
+                if (end.failure == ServerFailure.BROKEN) attempt.server.brokeOff(opened.request.digest, now)
                 if (opened.request.route.isRepeatable && end.canResume) {
                     repeat(opened, end.failure, mayHaveRun = true, now, effects)
                 } else {
@@ -195,7 +196,12 @@
             }
         }
         val sound = fresh.filter { now >= it.health.avoidUntil }.ifEmpty { fresh }
-        return scoreServers(opened.request, sound, ScoreContext(options.zone, nodes.size), now).firstOrNull()
+        return scoreServers(opened.request, sound, scoreContext(service), now).firstOrNull()
+    }
+
+    private fun scoreContext(service: ServiceDefinition): ScoreContext {
+        val engines = if (service.engine == null) emptyList() else servers.values.filter { it.known.server.service == service.name }
+        return ScoreContext(options.zone, nodes.size, serversForShortPrompts(service.name, engines))
     }
 
     /** A safe request that hears nothing is tried elsewhere while there is time for it. */
@@ -209,15 +215,16 @@
         return (opened.request.deadline - now) / attemptsLeft
     }
 
-    private fun reportCrash(
-        attempt: RunningAttempt,
+    /** The process of [server] is gone: whatever broke off on it before may have crashed it. */
+    private fun confirmCrash(
+        server: ServerState,
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
-        val server = attempt.server
-        val digest = attempt.request.digest
-        suspects.failed(digest, server.incarnationName, server.zone, now)
-        effects += DispatchEffect.ReportCrash(server.incarnationName, server.zone, setOf(digest))
+        val digests = server.takeCrashed(now)
+        if (digests.isEmpty()) return
+        digests.forEach { suspects.failed(it, server.incarnationName, server.zone, now) }
+        effects += DispatchEffect.ReportCrash(server.incarnationName, server.zone, digests)
     }
 
     private fun refuse(
@@ -233,16 +240,20 @@
         open.remove(key)?.running?.let { it.server.running.remove(key) }
     }
 
-    private fun replaceServers(listed: List<KnownServer>) {
-        val ids = listed.mapTo(HashSet()) { it.server.id }
-        servers.keys.removeAll { it !in ids }
+    private fun replaceServers(
+        listed: List<KnownServer>,
+        now: Instant,
+        effects: MutableList<DispatchEffect>,
+    ) {
+        val incarnations = listed.associate { it.server.id to it.server.incarnation }
+        val gone = servers.values.filter { incarnations[it.id] != it.known.server.incarnation }
+        gone.forEach {
+            servers.remove(it.id)
+            confirmCrash(it, now, effects)
+        }
         listed.forEach { known ->
             val state = servers[known.server.id]
-            when {
-                state == null -> servers[known.server.id] = ServerState(known)
-                state.known.server.incarnation != known.server.incarnation -> servers[known.server.id] = ServerState(known)
-                else -> state.known = known
-            }
+            if (state == null) servers[known.server.id] = ServerState(known) else state.known = known
         }
     }
 
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerScore.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerScore.kt
@@ -1,16 +1,22 @@
 /*
- * Ranks the backend servers for one request by the time to its first token, in seconds. Requests with the same first
- * prompt part go to the same few servers on all entry VMs, so that a part is read once and not by every server.
+ * Ranks the backend servers for one request by the time to its first token, in seconds. Requests that share the longest
+ * beginning of their prompts go to the same few servers on all entry VMs, so that it is read once and not by every one.
  */
 package org.ragwortlever.core.dispatch
 
 import org.ragwortlever.core.membership.rendezvousWeight
 import kotlin.time.Instant
 
-/** The place of this node in the fleet, as far as scores depend on it. */
+/**
+ * What scores depend on beside server and request.
+ *
+ * @property nodes entry VMs that send to the same servers.
+ * @property shortPromptServers servers that are kept for short prompts.
+ */
 internal data class ScoreContext(
     val zone: String,
     val nodes: Int,
+    val shortPromptServers: Set<String> = emptySet(),
 )
 
 /** A server with the terms of its score; the lowest sum wins. */
@@ -27,13 +33,21 @@
     context: ScoreContext,
     now: Instant,
 ): List<ServerScore> {
-    val shared = request.parts.firstOrNull()?.id ?: request.id
-    val preferred = candidates.sortedByDescending { rendezvousWeight(shared, it.id) }
-    return preferred
+    // The last part is the request's own; the one before it names the longest shared beginning.
+    val shared = request.parts.dropLast(1).lastOrNull()?.id ?: request.id
+    val (own, foreign) = candidates.partition { isOwnPool(request, it, context) }
+    val byAffinity = own.sortedByDescending { rendezvousWeight(shared, it.id) } + foreign
+    return byAffinity
         .mapIndexed { rank, server -> score(request, server, rank, context, now) }
         .sortedBy { it.seconds }
 }
 
+private fun isOwnPool(
+    request: RoutedRequest,
+    server: ServerState,
+    context: ScoreContext,
+): Boolean = context.shortPromptServers.isEmpty() || (server.id in context.shortPromptServers) != isLong(request)
+
 private fun score(
     request: RoutedRequest,
     server: ServerState,
@@ -49,7 +63,13 @@
     val batch = server.running.size * SECONDS_PER_RUNNING_REQUEST
     val health = server.health.errorRateAt(now) * SECONDS_PER_FAILURE
     val distance = if (server.zone == context.zone) 0.0 else OTHER_ZONE_SECONDS
-    return ServerScore(server, uncached, backlog + reading + batch + health + distance)
+    val pool =
+        when {
+            isOwnPool(request, server, context) -> 0.0
+            isLong(request) -> LONG_AMONG_SHORT_SECONDS
+            else -> SHORT_AMONG_LONG_SECONDS
+        }
+    return ServerScore(server, uncached, backlog + reading + batch + health + distance + pool)
 }
 
 // Reading speed of an idle model engine; only the proportion to the other terms matters.
@@ -64,5 +84,11 @@
 // Round trip between availability zones, and a preference that keeps bytes inside the zone when all else is equal.
 private const val OTHER_ZONE_SECONDS = 0.002
 
+// More than any wait: long prompts go among live conversations only when no other server is left.
+private const val LONG_AMONG_SHORT_SECONDS = 60.0
+
+// A short prompt among long ones waits for the chunk that is being read, and so does each token of its answer.
+private const val SHORT_AMONG_LONG_SECONDS = 0.3
+
 // Own backlog stands for that of the other nodes too, but a single long prompt must not count for a whole large fleet.
 private const val LOAD_FACTOR_NODES = 3
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
@@ -25,6 +25,8 @@
     val running = LinkedHashMap<Long, RunningAttempt>()
     private val partsSentAt = LinkedHashMap<String, Instant>()
 
+    private val broken = ArrayList<BrokenAttempt>()
+
     val id: String get() = known.server.id
     val zone: String get() = known.server.zone
 
@@ -34,6 +36,21 @@
     /** Tokens that this node's requests may occupy in the server's memory. */
     val occupiedTokens: Int get() = running.values.sumOf { it.request.promptTokens + it.request.outputTokens }
 
+    /** Notes that an attempt with [digest] broke off; the server may have crashed under it. */
+    fun brokeOff(
+        digest: String,
+        now: Instant,
+    ) {
+        broken += BrokenAttempt(digest, now)
+    }
+
+    /** Digests of the attempts that broke off lately, now that the server's crash is certain; each is returned once. */
+    fun takeCrashed(now: Instant): Set<String> {
+        val digests = broken.filter { now - it.at < CRASH_CONFIRMED_WITHIN && it.digest.isNotEmpty() }.mapTo(HashSet()) { it.digest }
+        broken.clear()
+        return digests
+    }
+
     fun isCold(now: Instant): Boolean = now < known.coldUntil
 
     /** Tokens of [parts] that the server has to read: those from the first part on that was not sent to it lately. */
@@ -56,10 +73,15 @@
         while (partsSentAt.size > REMEMBERED_PARTS) partsSentAt.remove(partsSentAt.keys.first())
     }
 
-    /** The server's process is a new one: it holds nothing of before. */
-    fun restarted() = partsSentAt.clear()
+    private data class BrokenAttempt(
+        val digest: String,
+        val at: Instant,
+    )
 
     private companion object {
+        // A crashed server refuses connections for some seconds, and its announcement lapses within four.
+        val CRASH_CONFIRMED_WITHIN: Duration = 5.seconds
+
         // Engines drop the least recently used parts; under load a part that is not used survives a few tens of seconds.
         val PART_LIFETIME: Duration = 30.seconds
         const val REMEMBERED_PARTS = 1000
--- a/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -84,13 +84,16 @@
         return peak
     }
 
-    /** Two servers in a zone bear the loss of one. */
-    private fun floor(range: ScalingRange): Int = minOf(range.maximum, maxOf(range.minimum, 2))
+    /** Enough to begin a burst with; a second and third server of a zone also bear the loss of one. */
+    private fun floor(range: ScalingRange): Int =
+        minOf(range.maximum, maxOf(range.minimum, if (range.spotPrice == null) ORDINARY_FLOOR else SPOT_FLOOR))
 
     private companion object {
         // Reading a prompt holds up every answer on the same server, so a server is full long before it always reads.
-        const val READ_SECONDS_PER_SERVER = 0.2
-        const val RUNNING_PER_SERVER = 16.0
+        const val READ_SECONDS_PER_SERVER = 0.14
+        const val RUNNING_PER_SERVER = 8.0
+        const val ORDINARY_FLOOR = 2
+        const val SPOT_FLOOR = 3
         val PEAK_TIME: Duration = 12.seconds
 
         // A reclaim lasts several seconds; asking earlier is refused again.
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/CrashReporter.kt
@@ -0,0 +1,62 @@
+/*
+ * Tells the other entry VMs which requests a server crashed under, through the store. Crashes are rare, so one thread
+ * that writes them one after another is enough; what can't be written soon is dropped and logged.
+ */
+package org.ragwortlever.daemon.fleet
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.ragwortlever.core.fleet.CrashRecord
+import org.ragwortlever.core.fleet.FleetKeys
+import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.store.Transaction
+import org.ragwortlever.core.store.TransactionResult
+import org.ragwortlever.core.store.Write
+import org.ragwortlever.daemon.platform.KeyValueStore
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.minutes
+
+internal class CrashReporter(
+    private val node: String,
+    private val store: KeyValueStore,
+) : AutoCloseable {
+    private var number = 0L
+    private val executor =
+        ThreadPoolExecutor(
+            1,
+            1,
+            IDLE_SECONDS,
+            TimeUnit.SECONDS,
+            ArrayBlockingQueue(WAITING_REPORTS),
+            { task -> Thread(task, "crash-reports").apply { isDaemon = true } },
+            { _, _ -> logger.warn { eventLine("crash-report-dropped", "reason" to "too many wait") } },
+        ).apply { allowCoreThreadTimeOut(true) }
+
+    fun report(crash: CrashRecord) = executor.execute { write(crash) }
+
+    override fun close() {
+        executor.shutdownNow()
+    }
+
+    private fun write(crash: CrashRecord) {
+        repeat(ATTEMPTS) {
+            val lease = store.grantLease(RETENTION).getOrElse { return@repeat }
+            val put = Write.Put(FleetKeys.crash(node, ++number), crash.encode(), lease)
+            if (store.commit(Transaction(emptyList(), listOf(put))).get() is TransactionResult.Committed) return
+        }
+        logger.warn { eventLine("crash-report-dropped", "server" to crash.server, "requests" to crash.digests.size) }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val WAITING_REPORTS = 100
+        const val ATTEMPTS = 3
+        const val IDLE_SECONDS = 5L
+
+        // VMs that start within this time still learn of the crash.
+        val RETENTION = 5.minutes
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -169,7 +169,7 @@
         val logger = KotlinLogging.logger {}
 
         // Bounds how late a change is seen; the platform allows two seconds for a configuration or a leaving server.
-        val STEP = 700.milliseconds
+        val STEP = 900.milliseconds
         val RETRY = 300.milliseconds
 
         // A step without changes ends with this; shorter than the call's own timeout.
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -10,10 +10,12 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 import org.ragwortlever.core.backend.BackendServer
+import org.ragwortlever.core.dispatch.DispatchEffect
 import org.ragwortlever.core.dispatch.DispatchEvent
 import org.ragwortlever.core.dispatch.DispatchOptions
 import org.ragwortlever.core.dispatch.Dispatcher
 import org.ragwortlever.core.dispatch.RepeatBound
+import org.ragwortlever.core.fleet.CrashRecord
 import org.ragwortlever.core.fleet.FleetChange
 import org.ragwortlever.core.fleet.FleetRecord
 import org.ragwortlever.core.fleet.FleetView
@@ -74,9 +76,10 @@
     private val open = OpenExchanges()
     private val record =
         NodeRecord(settings.nodeId, clock.now().toEpochMilliseconds(), settings.callers, settings.zone, settings.region)
+    private val crashes = CrashReporter(settings.nodeId, ports.store)
     private val registration = NodeRegistration(record, ports.store) { load }
     private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.repeatBound()))
-    private val gateway = DispatchGateway(control, dispatcher, clock) { logger.info { eventLine("server-crash", "server" to it.server) } }
+    private val gateway = DispatchGateway(control, dispatcher, clock, ::crashed)
     private val servers = ServerClient(ports.headers)
     private val follower = FleetFollower(ports.feed, ports.decoder, Listener(), clock::now)
 
@@ -127,6 +130,7 @@
         logger.info { eventLine("draining", "node" to settings.nodeId, "open" to open.count) }
         registration.close()
         duties?.close()
+        crashes.close()
         val callersKeepAddress = began + CALLERS_KEEP_ADDRESS
         while (clock.now() < end && (open.count > 0 || clock.now() < callersKeepAddress)) Thread.sleep(DRAIN_POLL.inWholeMilliseconds)
         logger.info {
@@ -152,6 +156,11 @@
         return FleetState(table?.document, announced, total.mapValues { (_, loads) -> loads.reduce(ServiceLoad::plus) })
     }
 
+    private fun crashed(crash: DispatchEffect.ReportCrash) {
+        logger.warn { eventLine("server-crashed", "server" to crash.server, "zone" to crash.zone, "requests" to crash.digests.size) }
+        crashes.report(CrashRecord(crash.server, crash.zone, crash.digests))
+    }
+
     private fun entryVms(): List<NodeRecord> {
         val others = nodes.values.filter { it.name != settings.nodeId }
         return if (status.isReady) others + record else others
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/SettingsWatch.kt
@@ -0,0 +1,80 @@
+/*
+ * Keeps the settings up to date with their file, which can change with or without a signal. Addresses of the platform
+ * take effect at their next use; what is set up at the start stays until the next start.
+ */
+package org.ragwortlever.daemon.fleet
+
+import com.github.michaelbull.result.fold
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.settings.FleetSettings
+import org.ragwortlever.core.settings.parseFleetSettings
+import java.io.File
+import java.io.IOException
+import kotlin.concurrent.thread
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Follows [file]; a file that can't be read or breaks a rule is logged and changes nothing. */
+class SettingsWatch(
+    private val file: File,
+    initial: FleetSettings,
+    private val period: Duration = 1.seconds,
+) : AutoCloseable {
+    @Volatile
+    private var closed = false
+    private var text: String? = null
+
+    /** The settings in force. */
+    @Volatile
+    var current: FleetSettings = initial
+        private set
+
+    fun start() {
+        thread(name = "settings", isDaemon = true) {
+            while (!closed) {
+                check()
+                runCatching { Thread.sleep(period.inWholeMilliseconds) }
+            }
+        }
+    }
+
+    /** Reads the file now. */
+    fun check() {
+        val read =
+            try {
+                file.readText()
+            } catch (failure: IOException) {
+                logger.warn { eventLine("settings-unreadable", "file" to file, "error" to failure.message) }
+                return
+            }
+        if (read == text) return
+        text = read
+        parseFleetSettings(read).fold(
+            success = { changed ->
+                if (changed !=
+                    current
+                ) {
+                    logger.info {
+                        eventLine(
+                            "settings-changed",
+                            "file" to file,
+                            "store" to changed.store,
+                            "duties" to changed.duties,
+                        )
+                    }
+                }
+                current = changed
+            },
+            failure = { faults -> logger.warn { eventLine("settings-refused", "file" to file, "faults" to faults.joinToString("; ")) } },
+        )
+    }
+
+    override fun close() {
+        closed = true
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -157,8 +157,8 @@
         // Backend servers are a millisecond away; a connection that takes longer meets a dead or choked server.
         val CONNECT_TIMEOUT = 500.milliseconds
 
-        // Servers close idle connections after a few seconds; a request on one that is being closed is lost.
-        val IDLE_TIME = 4.seconds
+        // New connections are priced. Servers close idle ones themselves, which the library sees before it uses one again.
+        val IDLE_TIME = 20.seconds
         const val IDLE_CONNECTIONS = 64
         const val MISDIRECTED = 421
         const val UNAVAILABLE = 503
