Never order servers away before others have taken their place

Change: spot and ordinary servers change one for one, a spot server counts only once it is warm, and a new holder begins with what runs. Each change of a server that decides where requests go now has a log line. The tests of the policy hold the three cases.

--- a/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
@@ -27,6 +27,9 @@
     /** Servers that are announced, also those that drain. */
     val all: Collection<KnownServer> get() = servers.values
 
+    /** The last announcement of [id]. */
+    fun find(id: String): BackendServer? = servers[id]?.server
+
     fun put(
         server: BackendServer,
         now: Instant,
--- a/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -12,7 +12,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Servers of one zone, as wanted or as running. */
+/** Servers to order in one zone. */
 data class ZoneServers(
     val ordinary: Int,
     val spot: Int,
@@ -20,6 +20,19 @@
     val total: Int get() = ordinary + spot
 }
 
+/**
+ * Servers of one zone that take requests.
+ *
+ * @property warmSpot spot servers that bear full load, as all that have run for a while do.
+ */
+data class RunningServers(
+    val ordinary: Int,
+    val spot: Int,
+    val warmSpot: Int = spot,
+) {
+    val total: Int get() = ordinary + spot
+}
+
 /** The scaling of one service; not thread-safe. */
 class ScalingPolicy {
     private var peak = 0
@@ -43,29 +56,39 @@
         range: ScalingRange,
         load: ServiceLoad,
         zones: List<String>,
-        running: Map<String, ZoneServers>,
+        running: Map<String, RunningServers>,
         now: Instant,
     ): Map<String, ZoneServers> {
+        // Whoever takes the orders over begins with what runs, as the need of the last while is not known.
+        if (peakAt == Instant.DISTANT_PAST) notePeak(running.values.sumOf { it.total }, now)
         val total = heldPeak(needed(load), now).coerceIn(zones.size * floor(range), zones.size * range.maximum)
         val cheapestFirst = zones.sortedBy { range.zonePrices[it] ?: 1.0 }
         return cheapestFirst.withIndex().associate { (rank, zone) ->
             val share = total / zones.size + if (rank < total % zones.size) 1 else 0
-            zone to kinds(range, zone, share.coerceIn(floor(range), range.maximum), running[zone] ?: ZoneServers(0, 0), now)
+            zone to kinds(range, zone, share.coerceIn(floor(range), range.maximum), running[zone] ?: RunningServers(0, 0), now)
         }
     }
 
+    /** No server is given up before another one has taken its place, so ordinary and spot servers change one for one. */
     private fun kinds(
         range: ScalingRange,
         zone: String,
         count: Int,
-        running: ZoneServers,
+        running: RunningServers,
         now: Instant,
     ): ZoneServers {
-        val spotRefused = now < (spotRefusedAt[zone] ?: Instant.DISTANT_PAST) + SPOT_PAUSE
-        if (range.spotPrice == null || spotRefused) return ZoneServers(count, 0)
-        // Ordinary servers stay until spot servers have taken their place.
-        val ordinary = (count - running.spot).coerceIn(0, maxOf(0, running.ordinary))
-        return ZoneServers(minOf(ordinary, range.maximum - count).coerceAtLeast(0), count)
+        if (range.spotPrice == null) return ZoneServers(count, 0)
+        if (now < (spotRefusedAt[zone] ?: Instant.DISTANT_PAST) + SPOT_PAUSE) {
+            val spot = minOf(running.spot, count)
+            return ZoneServers(count - spot, spot)
+        }
+        val ordinary = minOf(running.ordinary, (count - running.warmSpot).coerceAtLeast(0))
+        val room = range.maximum - ordinary
+        // With every place taken by ordinary servers, one has to go before the first spot server can come.
+        if (room <= running.spot && running.spot < count && running.spot == running.warmSpot) {
+            return ZoneServers(maxOf(0, range.maximum - running.spot - 1), running.spot + 1)
+        }
+        return ZoneServers(ordinary, minOf(count, room))
     }
 
     private fun needed(load: ServiceLoad): Int = ceil(
@@ -77,13 +100,18 @@
         need: Int,
         now: Instant,
     ): Int {
-        if (need >= peak || now - peakAt > PEAK_TIME) {
-            peak = need
-            peakAt = now
-        }
+        if (need >= peak || now - peakAt > PEAK_TIME) notePeak(need, now)
         return peak
     }
 
+    private fun notePeak(
+        need: Int,
+        now: Instant,
+    ) {
+        peak = need
+        peakAt = now
+    }
+
     /** Enough to begin a burst with; a second and third server of a zone also bear the loss of one. */
     private fun floor(range: ScalingRange): Int =
         minOf(range.maximum, maxOf(range.minimum, if (range.spotPrice == null) ORDINARY_FLOOR else SPOT_FLOOR))
@@ -94,7 +122,7 @@
         const val RUNNING_PER_SERVER = 8.0
         const val ORDINARY_FLOOR = 2
         const val SPOT_FLOOR = 3
-        val PEAK_TIME: Duration = 12.seconds
+        val PEAK_TIME: Duration = 20.seconds
 
         // A reclaim lasts several seconds; asking earlier is refused again.
         val SPOT_PAUSE: Duration = 6.seconds
--- a/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
@@ -19,50 +19,75 @@
 
     private fun desired(
         load: ServiceLoad,
-        running: ZoneServers,
+        running: RunningServers,
         seconds: Int = 0,
     ) = policy.desired(range, load, zones, zones.associateWith { running }, start + seconds.seconds)
 
     @Test
     fun `given an idle service, then each zone keeps servers for the beginning of a burst`() {
-        expectThat(desired(idle, ZoneServers(0, 3)).values).all { isEqualTo(ZoneServers(0, 3)) }
+        expectThat(desired(idle, RunningServers(0, 3)).values).all { isEqualTo(ZoneServers(0, 3)) }
     }
 
     @Test
     fun `given a service without cheap servers, when it is idle, then each zone keeps two`() {
         val dear = range.copy(spotPrice = null)
-        val desired = policy.desired(dear, idle, zones, zones.associateWith { ZoneServers(2, 0) }, start)
+        val desired = policy.desired(dear, idle, zones, zones.associateWith { RunningServers(2, 0) }, start)
         expectThat(desired.values).all { isEqualTo(ZoneServers(2, 0)) }
     }
 
     @Test
     fun `given ordinary servers before spot ones have started, then the ordinary ones stay`() {
-        expectThat(desired(idle, ZoneServers(1, 0)).values).all { isEqualTo(ZoneServers(1, 3)) }
-        expectThat(desired(idle, ZoneServers(1, 2)).values).all { isEqualTo(ZoneServers(1, 3)) }
-        expectThat(desired(idle, ZoneServers(1, 3)).values).all { isEqualTo(ZoneServers(0, 3)) }
+        expectThat(desired(idle, RunningServers(1, 0)).values).all { isEqualTo(ZoneServers(1, 3)) }
+        expectThat(desired(idle, RunningServers(1, 2)).values).all { isEqualTo(ZoneServers(1, 3)) }
+        expectThat(desired(idle, RunningServers(1, 3)).values).all { isEqualTo(ZoneServers(0, 3)) }
     }
 
     @Test
     fun `given a burst, when it ends, then servers stay for the next one and leave later`() {
         val burst = ServiceLoad(readSeconds = 2.0, running = 20)
-        expectThat(desired(burst, ZoneServers(0, 2)).values.sumOf { it.total }).isEqualTo(12)
-        expectThat(desired(idle, ZoneServers(0, 4), seconds = 5).values.sumOf { it.total }).isEqualTo(12)
-        expectThat(desired(idle, ZoneServers(0, 4), seconds = 20).values.sumOf { it.total }).isEqualTo(9)
+        expectThat(desired(burst, RunningServers(0, 2)).values.sumOf { it.total }).isEqualTo(12)
+        expectThat(desired(idle, RunningServers(0, 4), seconds = 5).values.sumOf { it.total }).isEqualTo(12)
+        expectThat(desired(idle, RunningServers(0, 4), seconds = 30).values.sumOf { it.total }).isEqualTo(9)
     }
 
     @Test
     fun `given a zone whose spot servers are taken away, then ordinary ones replace them there and nowhere else`() {
         policy.spotUnavailable("b", start)
-        val desired = desired(idle, ZoneServers(0, 3))
+        val running = mapOf("a" to RunningServers(0, 3), "b" to RunningServers(0, 0), "c" to RunningServers(0, 3))
+        val desired = policy.desired(range, ServiceLoad(readSeconds = 1.2), zones, running, start)
         expectThat(desired["b"]).isEqualTo(ZoneServers(3, 0))
         expectThat(desired["a"]).isEqualTo(ZoneServers(0, 3))
-        expectThat(desired(idle, ZoneServers(1, 0), seconds = 10)["b"]).isEqualTo(ZoneServers(1, 3))
+        expectThat(desired(idle, RunningServers(1, 0), seconds = 10)["b"]).isEqualTo(ZoneServers(1, 3))
+    }
+
+    @Test
+    fun `given a zone full of ordinary servers, when spot servers are to be had, then they change one for one`() {
+        val burst = ServiceLoad(readSeconds = 9.0, running = 100)
+        var running = RunningServers(4, 0)
+        repeat(20) { second ->
+            val wanted = checkNotNull(desired(burst, running, seconds = second)["a"])
+            // What is ordered away must leave three of the four servers serving.
+            expectThat(minOf(wanted.ordinary, running.ordinary) + minOf(wanted.spot, running.warmSpot)).isGreaterThanOrEqualTo(3)
+            running = RunningServers(wanted.ordinary, wanted.spot, warmSpot = minOf(running.spot, wanted.spot))
+        }
+        expectThat(running).isEqualTo(RunningServers(0, 4))
+    }
+
+    @Test
+    fun `given spot servers that run, when the platform has no more of them, then none is ordered away`() {
+        zones.forEach { policy.spotUnavailable(it, start) }
+        expectThat(desired(ServiceLoad(readSeconds = 9.0, running = 100), RunningServers(0, 3))["a"]).isEqualTo(ZoneServers(1, 3))
+    }
+
+    @Test
+    fun `given a new duty holder, when it gives its first orders, then it keeps what runs`() {
+        expectThat(desired(idle, RunningServers(0, 4)).values.sumOf { it.total }).isEqualTo(12)
     }
 
     @Test
     fun `given any load, then a zone never gets more than its maximum of both kinds together`() {
         for (ordinary in 0..4) {
-            val wanted = desired(ServiceLoad(readSeconds = 9.0, running = 500), ZoneServers(ordinary, 0))
+            val wanted = desired(ServiceLoad(readSeconds = 9.0, running = 500), RunningServers(ordinary, 0))
             expectThat(wanted.values).all { get { range.maximum - total }.isGreaterThanOrEqualTo(0) }
         }
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -7,6 +7,7 @@
 
 import com.github.michaelbull.result.fold
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.fleet.FleetChange
 import org.ragwortlever.core.fleet.FleetKeys
 import org.ragwortlever.core.fleet.FleetRecord
@@ -141,12 +142,40 @@
                     is StoreChange.Removed -> FleetKeys.removal(change.key) ?: decoder.removal(change.key)
                 }
             if (record is FleetRecord.CrashSeen) listener.crashSeen(record)
-            record?.let { view.apply(it, now()) }?.let { changes += it }
+            record?.let { apply(it) }?.let { changes += it }
         }
         revision = answer.revision
         if (changes.isNotEmpty()) listener.changed(view, changes)
     }
 
+    private fun apply(record: FleetRecord): FleetChange? {
+        if (record is FleetRecord.ServerAnnounced) logIfChanged(record.server)
+        if (record is FleetRecord.ServerGone) logger.info { eventLine("server-gone", "server" to record.id) }
+        if (record is FleetRecord.NodeGone) logger.info { eventLine("node-gone", "node" to record.name) }
+        return view.apply(record, now())
+    }
+
+    /** One line for what decides where requests go, none for the announcements in between. */
+    private fun logIfChanged(server: BackendServer) {
+        val before = view.servers.find(server.id)
+        if (before != null && before.incarnation == server.incarnation && before.isDraining == server.isDraining) return
+        logger.info {
+            eventLine(
+                "server-announced",
+                "server" to server.id,
+                "service" to server.service,
+                "zone" to server.zone,
+                "address" to server.address,
+                "draining" to server.isDraining,
+                "reclaimed" to server.isReclaimed,
+                "spot" to server.isSpot,
+                "cold-ms" to server.coldFor.inWholeMilliseconds,
+                "incarnation" to server.incarnation,
+                "sequence" to server.sequence,
+            )
+        }
+    }
+
     private fun decode(entry: StoreEntry): FleetRecord? = FleetKeys.decode(entry.key, entry.value) ?: decoder.decode(entry)
 
     private fun answered() {
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
@@ -7,8 +7,8 @@
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.route.RoutingDocument
 import org.ragwortlever.core.route.ScalingRange
+import org.ragwortlever.core.scaling.RunningServers
 import org.ragwortlever.core.scaling.ScalingPolicy
-import org.ragwortlever.core.scaling.ZoneServers
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -127,4 +127,5 @@
     }
 }
 
-private fun List<BackendServer>.counts() = ZoneServers(count { !it.isSpot }, count { it.isSpot })
+private fun List<BackendServer>.counts() =
+    RunningServers(count { !it.isSpot }, count { it.isSpot }, count { it.isSpot && it.coldFor <= Duration.ZERO })
