Look at an idle connection before a request goes out on it

Change: a network interceptor reads for a millisecond before each send; a dead connection is replaced, bytes that belong to no request end it. Reading a prompt anew weighs twice in the choice of a server.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerScore.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerScore.kt
@@ -59,7 +59,7 @@
     // Other entry VMs send the same part to the server of the first rank, so it has probably read the shared parts.
     val uncached = if (rank == 0 && request.parts.size > 1) minOf(own, request.parts.last().tokens) else own
     val backlog = server.unreadTokens.toDouble() * minOf(context.nodes, LOAD_FACTOR_NODES) / PROMPT_TOKENS_PER_SECOND
-    val reading = uncached / PROMPT_TOKENS_PER_SECOND
+    val reading = uncached / PROMPT_TOKENS_PER_SECOND * READING_WEIGHT
     val batch = server.running.size * SECONDS_PER_RUNNING_REQUEST
     val health = server.health.errorRateAt(now) * SECONDS_PER_FAILURE
     val distance = if (server.zone == context.zone) 0.0 else OTHER_ZONE_SECONDS
@@ -75,6 +75,9 @@
 // Reading speed of an idle model engine; only the proportion to the other terms matters.
 internal const val PROMPT_TOKENS_PER_SECOND = 36_000.0
 
+// Reading anew what another server holds delays this request and takes capacity from all others.
+private const val READING_WEIGHT = 2.0
+
 // Each request of a batch slows the others; a full batch of 64 costs about as much as reading one long prompt.
 private const val SECONDS_PER_RUNNING_REQUEST = 0.004
 
@@ -91,4 +94,4 @@
 private const val SHORT_AMONG_LONG_SECONDS = 0.3
 
 // Own backlog stands for that of the other nodes too, but a single long prompt must not count for a whole large fleet.
-private const val LOAD_FACTOR_NODES = 3
+private const val LOAD_FACTOR_NODES = 2
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
@@ -27,7 +27,6 @@
 import org.ragwortlever.daemon.caller.readBody
 import org.ragwortlever.daemon.caller.toResponse
 import org.ragwortlever.http.CallerWatch
-import org.ragwortlever.http.SendMark
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
@@ -113,7 +112,7 @@
         private val ticket = gateway.submit(request)
 
         @Volatile
-        private var call: okhttp3.Call? = null
+        private var call: ServerCall? = null
 
         @Volatile
         private var isCallerGone = false
@@ -257,12 +256,11 @@
                     "after" to lastEventId,
                 )
             }
-            val mark = SendMark()
             val headers = AttemptHeaders(request.account, request.tier.takeIf { request.parts.isNotEmpty() }, lastEventId)
-            val prepared = servers.prepare(prepared.outgoing, send.server, headers, timeLeft, timeout, mark)
+            val prepared = servers.prepare(prepared.outgoing, send.server, headers, timeLeft, timeout)
             call = prepared
             if (isCallerGone) prepared.cancel()
-            return when (val start = servers.start(prepared, request.id, mark)) {
+            return when (val start = servers.start(prepared, request.id)) {
                 is AttemptStart.Answering -> {
                     gateway.post(DispatchEvent.FirstByte(request.key))
                     if (!counted) observer.began(request.account)
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -4,7 +4,6 @@
  */
 package org.ragwortlever.daemon.gateway
 
-import okhttp3.Call
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.Interceptor
@@ -19,7 +18,7 @@
 import org.ragwortlever.core.dispatch.AttemptEnd
 import org.ragwortlever.http.KeepAliveSocketFactory
 import org.ragwortlever.http.NotSentException
-import org.ragwortlever.http.SendMark
+import org.ragwortlever.http.StaleConnectionCheck
 import org.ragwortlever.http.markingSends
 import java.io.IOException
 import java.io.InterruptedIOException
@@ -73,19 +72,19 @@
             .readTimeout(Duration.ZERO.toJavaDuration())
             .connectionPool(ConnectionPool(IDLE_CONNECTIONS, IDLE_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS))
             .dispatcher(Dispatcher().apply { maxRequestsPerHost = maxRequests })
+            .addNetworkInterceptor(StaleConnectionCheck)
             .addNetworkInterceptor(::withoutImmediateRetry)
             .markingSends()
             .build()
 
-    /** Prepares the attempt; [Call.cancel] on the result may be called from any thread. */
+    /** Prepares the attempt; [ServerCall.cancel] on the result may be called from any thread. */
     fun prepare(
         request: OutgoingRequest,
         server: KnownServer,
         attempt: AttemptHeaders,
         timeLeft: Duration,
         timeout: Duration,
-        mark: SendMark,
-    ): Call {
+    ): ServerCall {
         val builder = Request.Builder().url("http://${server.server.address}${request.pathAndQuery}")
         names.forwarded(request.headers).forEach { (name, value) ->
             if (attempt.lastEventId == null || !name.equals(names.lastEventId, ignoreCase = true)) builder.addHeader(name, value.orEmpty())
@@ -97,20 +96,17 @@
         attempt.account?.let { builder.header(names.account, it) }
         attempt.priority?.let { builder.header(names.priority, it.toString()) }
         attempt.lastEventId?.let { builder.header(names.lastEventId, it) }
-        val call = client.newCall(mark.on(builder.method(request.method, request.okHttpBody()).build()))
-        call.timeout().timeout(timeout.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS)
-        return call
+        return ServerCall(client, builder.method(request.method, request.okHttpBody()).build(), timeout)
     }
 
-    /** Sends [call] and waits for the headers of its answer. */
+    /** Sends [attempt] and waits for the headers of its answer. */
     fun start(
-        call: Call,
+        attempt: ServerCall,
         requestId: String,
-        mark: SendMark,
     ): AttemptStart {
         val response =
             try {
-                mark.check { call.execute() }
+                attempt.execute()
             } catch (failure: NotSentException) {
                 return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.UNREACHABLE), failure.message.orEmpty())
             } catch (failure: IOException) {
@@ -118,7 +114,7 @@
             }
         val faulty = faultOf(response, requestId) ?: return AttemptStart.Answering(response)
         response.close()
-        call.cancel()
+        attempt.cancel()
         return faulty
     }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedCallsTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedCallsTest.kt
@@ -201,6 +201,34 @@
         expectThat(answer.lines().any { it.equals("Connection: close", ignoreCase = true) }).isTrue()
     }
 
+    @Test
+    fun `given an idle connection that the server has closed, when a request may run once, then it goes out on a new one`() {
+        var answered = 0
+        val server = world.servers({ request, socket ->
+            socket.answer(request, "done")
+            if (answered++ == 0) socket.close()
+        })
+        expectThat(world.post("/once/1").use { it.body.string() }).isEqualTo("done")
+        Thread.sleep(CLOSE_TRAVELS_MILLISECONDS)
+        expectThat(world.post("/once/2").use { it.body.string() }).isEqualTo("done")
+        expectThat(server.single().received).hasSize(2)
+    }
+
+    @Test
+    fun `given bytes on an idle connection that belong to no request, then no caller gets them`() {
+        var answered = 0
+        world.servers({ request, socket ->
+            socket.answer(request, "done-$answered")
+            if (answered++ == 0) {
+                Thread.sleep(CLOSE_TRAVELS_MILLISECONDS)
+                socket.answer(request, "late")
+            }
+        })
+        expectThat(world.post("/once/1").use { it.body.string() }).isEqualTo("done-0")
+        Thread.sleep(3 * CLOSE_TRAVELS_MILLISECONDS)
+        expectThat(world.post("/once/2", headers = mapOf("X-Request-Id" to "id-2")).use { it.body.string() }).isEqualTo("done-1")
+    }
+
     @Test
     fun `given a length and chunks at once, when a request comes, then it is refused and no server sees anything of it`() {
         val server = world.servers({ request, socket -> socket.answer(request, "done") }).single()
@@ -212,4 +240,9 @@
         expectThat(socket.getInputStream().readAllBytes().decodeToString().lines().first()).isEqualTo("HTTP/1.1 400 Bad Request")
         expectThat(server.received).hasSize(0)
     }
+
+    private companion object {
+        // On loopback a close or an answer arrives within microseconds.
+        const val CLOSE_TRAVELS_MILLISECONDS = 100L
+    }
 }
