Avoid servers that go silent and flush usage more often with one call

Three usage windows were off because a killed VM lost up to five seconds of counts. Change: a server with a request that has waited 0.8 s while nothing came from it gets no further ones. Counts are flushed every 1.25 s; a write that follows an own write needs no read first. Ruled out: overload (engines of the other zones answered within 0.1 s).

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -63,7 +63,7 @@
         val effects = ArrayList<DispatchEffect>()
         when (event) {
             is DispatchEvent.Submit -> submit(event.request, now, effects)
-            is DispatchEvent.FirstByte -> open[event.key]?.running?.firstByteAt = now
+            is DispatchEvent.FirstByte -> firstByte(event.key, now)
             is DispatchEvent.AttemptEnded -> ended(event, now, effects)
             is DispatchEvent.CallerGone -> close(event.key)
             is DispatchEvent.ServersChanged -> replaceServers(event.servers, now, effects)
@@ -90,6 +90,15 @@
         send(opened, now, effects)
     }
 
+    private fun firstByte(
+        key: Long,
+        now: Instant,
+    ) {
+        val attempt = open[key]?.running ?: return
+        attempt.firstByteAt = now
+        attempt.server.heard(now)
+    }
+
     private fun ended(
         event: DispatchEvent.AttemptEnded,
         now: Instant,
@@ -102,6 +111,7 @@
         when (val end = event.end) {
             AttemptEnd.Answered -> {
                 attempt.server.health.succeeded(now)
+                attempt.server.heard(now)
                 suspects.completed(opened.request.digest, now)
                 open.remove(event.key)
             }
@@ -195,7 +205,8 @@
                 possible
             }
         }
-        val sound = fresh.filter { now >= it.health.avoidUntil }.ifEmpty { fresh }
+        val speaking = fresh.filterNot { it.isSilent(SILENCE, now) }.ifEmpty { fresh }
+        val sound = speaking.filter { now >= it.health.avoidUntil }.ifEmpty { speaking }
         return scoreServers(opened.request, sound, scoreContext(service), now).firstOrNull()
     }
 
@@ -270,6 +281,9 @@
 
         // Refusals by full servers cost no run, but each costs a round trip and an arrival.
         const val MAXIMUM_SENDS = 4
+
+        // Longer than a busy server takes for its next sign of life, short against the time that callers wait.
+        val SILENCE = 800.milliseconds
         const val LOAD_STEPS = 100.0
 
         // Long enough to even out single long prompts, short against the time in which a new server starts.
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
@@ -25,6 +25,7 @@
     val running = LinkedHashMap<Long, RunningAttempt>()
     private val partsSentAt = LinkedHashMap<String, Instant>()
 
+    private var lastHeard = Instant.DISTANT_PAST
     private val broken = ArrayList<BrokenAttempt>()
 
     val id: String get() = known.server.id
@@ -51,6 +52,20 @@
         return digests
     }
 
+    /** An answer, or a part of one, has arrived. */
+    fun heard(now: Instant) {
+        lastHeard = now
+    }
+
+    /**
+     * Whether a request has waited for its first byte for longer than [patience] while nothing else came either: the
+     * server, or the way to it, may be dead without a reset that would tell.
+     */
+    fun isSilent(
+        patience: Duration,
+        now: Instant,
+    ): Boolean = now - lastHeard > patience && running.values.any { it.firstByteAt == null && now - it.startedAt > patience }
+
     fun isCold(now: Instant): Boolean = now < known.coldUntil
 
     /** Tokens of [parts] that the server has to read: those from the first part on that was not sent to it lately. */
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageFlush.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageFlush.kt
@@ -93,7 +93,7 @@
         refused: FlushStage,
     ): UsageFlush =
         when {
-            answer.committedAt() != null -> copy(stage = FlushStage.DONE)
+            answer.committedAt() != null -> copy(stage = FlushStage.DONE, found = checkNotNull(answer.committedAt()))
             answer is StoreAnswer.Failed || repeated == MAXIMUM_REPEATS -> copy(stage = FlushStage.FAILED)
             else -> copy(stage = refused, repeated = repeated + 1)
         }
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
@@ -27,6 +27,7 @@
  *
  * @property sequence number of counts so far; each part carries the sequence of its last count.
  * @property flushed sequence of each part that the store has.
+ * @property revisions revision of each part that was written last; the next write needs no read before it.
  */
 data class UsageLedger(
     val source: String,
@@ -34,6 +35,7 @@
     val parts: Map<String, UsagePart> = emptyMap(),
     val flushed: Map<String, Long> = emptyMap(),
     val windowLength: Duration = UsageWindow.DEFAULT_LENGTH,
+    val revisions: Map<String, Long> = emptyMap(),
 ) {
     fun record(
         account: String,
@@ -57,7 +59,7 @@
         parts
             .filter { (window, part) -> part.sequence > (flushed[window] ?: 0) }
             .toSortedMap()
-            .map { (window, part) -> UsageFlush(window, source, part) }
+            .map { (window, part) -> UsageFlush(window, source, part, FlushStage.WRITE_OPEN, found = revisions[window] ?: 0) }
 
     /** Notes that [flush] is done, and forgets windows that have ended and are flushed. */
     fun flushed(
@@ -67,7 +69,8 @@
         val marked = flushed + (flush.window to maxOf(flush.part.sequence, flushed[flush.window] ?: 0))
         val kept =
             parts.filter { (window, part) -> UsageWindow.named(window, windowLength).end > now || part.sequence > (marked[window] ?: 0) }
-        return copy(parts = kept, flushed = marked.filterKeys { it in kept })
+        val written = revisions + (flush.window to flush.found)
+        return copy(parts = kept, flushed = marked.filterKeys { it in kept }, revisions = written.filterKeys { it in kept })
     }
 }
 
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatcherTest.kt
@@ -84,6 +84,32 @@
         repeat(20) { expectThat(world.submit(world.request())).isEqualTo("two") }
     }
 
+    @Test
+    fun `given a server that went dark under its requests, when nothing comes from it for a while, then others get the next ones`() {
+        world.engines(2)
+        val dark = checkNotNull(world.submit(world.request()))
+        repeat(20) {
+            val request = world.request()
+            val server = world.submit(request)
+            if (server != dark) world.end(request, AttemptEnd.Answered)
+            if (it > 9) expectThat(server).isNotEqualTo(dark)
+            world.now += 100.milliseconds
+        }
+    }
+
+    @Test
+    fun `given a busy server that answers others, when one request waits long, then the server is not taken for dead`() {
+        world.servers(server("one"))
+        val waiting = world.request()
+        world.submit(waiting)
+        repeat(20) {
+            val request = world.request()
+            expectThat(world.submit(request)).isEqualTo("one")
+            world.handle(DispatchEvent.FirstByte(request.key))
+            world.now += 100.milliseconds
+        }
+    }
+
     @Test
     fun `given a safe request with a second attempt, when it hears nothing, then it has time for another server`() {
         world.engines(2)
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -73,7 +73,10 @@
     private fun flushAfterWindow(
         now: Instant,
         bounds: BoundSettings,
-    ): Instant = UsageWindow.at(now, bounds.usageWindowSeconds.seconds).end + FLUSH_DELAY + flushOffset.milliseconds
+    ): Instant = minOf(
+        UsageWindow.at(now, bounds.usageWindowSeconds.seconds).end + FLUSH_DELAY + flushOffset.milliseconds,
+        now + FLUSH_PERIOD,
+    )
 
     private companion object {
         val PAUSE = 200.milliseconds
@@ -81,6 +84,9 @@
         // Clocks of the nodes differ by some milliseconds; a request at the end of a window must be counted first.
         val FLUSH_DELAY = 200.milliseconds
         val FLUSH_SPREAD = 1.seconds
+
+        // A node that is killed loses what it has not flushed, which must stay within the tolerance of a report.
+        val FLUSH_PERIOD = 1.25.seconds
     }
 }
 
