Name smaller entry VMs to fewer callers and bound the VMs' own writes

Cause: the grown deployments have VMs of 0.36 to 1.5 cores, and callers pick among the named ones at random. Loads and usage parts that each VM writes reach all VMs through the store: 69 VMs would write 90 times a second. Change: a caller's answer holds a VM with a probability in proportion to its capacity, the same whenever it asks; intervals of the writes grow with the number of VMs. Not measured yet on a grown site.

--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/EntryVmChoice.kt
@@ -0,0 +1,30 @@
+/*
+ * Which entry VMs a caller is told of. Callers connect to the named ones at random, so a VM that can bear less is
+ * named to fewer callers; each caller gets the same answer as long as the VMs are the same, and keeps its connections.
+ */
+package org.ragwortlever.core.fleet
+
+import org.ragwortlever.core.membership.rendezvousWeight
+
+/** The VMs of [nodes] for [caller], at most [limit] of them; never empty when there is any. */
+fun entryVmsFor(
+    caller: String,
+    nodes: Collection<NodeRecord>,
+    limit: Int,
+): List<NodeRecord> {
+    val largest = nodes.maxOfOrNull { it.capacity } ?: return emptyList()
+    val ordered = nodes.sortedByDescending { rendezvousWeight(caller, it.name) }
+    val named = ordered.filter { drawn(caller, it.name) * largest <= it.capacity }
+    // Few VMs leave a caller no choice when one fails.
+    return (if (named.size >= minOf(LEAST_NAMED, nodes.size)) named else ordered).take(limit)
+}
+
+/** A number from 0 up to 1 that is the same whenever the same caller asks. */
+private fun drawn(
+    caller: String,
+    node: String,
+): Double = (rendezvousWeight(node, caller) ushr UNUSED_BITS).toDouble() / (1L shl USED_BITS)
+
+private const val USED_BITS = 53
+private const val UNUSED_BITS = 11
+private const val LEAST_NAMED = 4
--- a/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
@@ -18,6 +18,7 @@
  * @property entryVms where callers ask which entry VMs to use.
  * @property metricsPort port of the metrics, on the VM's address; 0 for none.
  * @property store address of the platform's store.
+ * @property processorCores what this VM's processor can do, in cores.
  * @property duties address that takes usage reports and orders for backend servers; empty for none.
  */
 @Serializable
@@ -32,6 +33,7 @@
     val metricsPort: Int = 0,
     val store: String,
     val duties: String = "",
+    val processorCores: Double = 1.0,
     val http: HttpSettings = HttpSettings(),
     val bounds: BoundSettings = BoundSettings(),
 )
@@ -72,6 +74,7 @@
                     settings.duties.isNotEmpty() &&
                         !ADDRESS.matches(settings.duties)
                 },
+                located.errorAt("$.processorCores", "must be positive").takeIf { settings.processorCores <= 0 },
                 located.errorAt("$.metricsPort", "must be from 0 to 65535").takeIf { settings.metricsPort !in 0..65535 },
                 located.errorAt("$.bounds.gracePeriodSeconds", "must be positive").takeIf { settings.bounds.gracePeriodSeconds <= 0 },
                 located.errorAt("$.bounds.leaseSeconds", "must be at least 1").takeIf { settings.bounds.leaseSeconds < 1 },
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -21,6 +21,7 @@
 import org.ragwortlever.core.fleet.FleetView
 import org.ragwortlever.core.fleet.NodeRecord
 import org.ragwortlever.core.fleet.ServiceLoad
+import org.ragwortlever.core.fleet.entryVmsFor
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.route.RouteTable
 import org.ragwortlever.core.settings.FleetSettings
@@ -52,8 +53,11 @@
     /** Whether this VM takes requests. */
     val isReady: Boolean
 
-    /** Entry VMs that callers may use. */
-    val entryVms: List<NodeRecord>
+    /** Entry VMs that [caller] may use, at most [limit]. */
+    fun entryVms(
+        caller: String,
+        limit: Int,
+    ): List<NodeRecord>
 }
 
 /** How the platform is spoken to. [listeners] makes the endpoints beside the callers' one. */
@@ -75,9 +79,16 @@
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val open = OpenExchanges()
     private val record =
-        NodeRecord(settings.nodeId, clock.now().toEpochMilliseconds(), settings.callers, settings.zone, settings.region)
+        NodeRecord(
+            settings.nodeId,
+            clock.now().toEpochMilliseconds(),
+            settings.callers,
+            settings.zone,
+            settings.region,
+            settings.processorCores,
+        )
     private val crashes = CrashReporter(settings.nodeId, ports.store)
-    private val registration = NodeRegistration(record, ports.store) { load }
+    private val registration = NodeRegistration(record, ports.store, { nodes.size }) { load }
     private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.repeatBound()))
     private val gateway = DispatchGateway(control, dispatcher, clock, ::crashed)
     private val servers = ServerClient(ports.headers)
@@ -99,13 +110,17 @@
     private var announced: List<BackendServer> = emptyList()
     private val duties =
         ports.duties?.let {
-            FleetDuties(settings.nodeId, settings.bounds, ports.store, it, clock, SuspendAwareClock(), ::fleetState)
+            FleetDuties(settings.nodeId, settings.bounds, ports.store, it, clock, SuspendAwareClock(), ::fleetState, { nodes.size })
         }
 
     private val status =
         object : NodeStatus {
             override val isReady: Boolean get() = table != null && !leaving
-            override val entryVms: List<NodeRecord> get() = entryVms()
+
+            override fun entryVms(
+                caller: String,
+                limit: Int,
+            ): List<NodeRecord> = entryVmsFor(caller, registeredVms(), limit)
         }
     private val calls =
         RoutedCalls(gateway, servers, ports.headers, { table }, { leaving }, Observer(), clock::now)
@@ -161,7 +176,7 @@
         crashes.report(CrashRecord(crash.server, crash.zone, crash.digests))
     }
 
-    private fun entryVms(): List<NodeRecord> {
+    private fun registeredVms(): List<NodeRecord> {
         val others = nodes.values.filter { it.name != settings.nodeId }
         return if (status.isReady) others + record else others
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
@@ -22,6 +22,7 @@
 class NodeRegistration(
     private val record: NodeRecord,
     private val store: KeyValueStore,
+    private val nodes: () -> Int,
     private val load: () -> Map<String, ServiceLoad>,
 ) : AutoCloseable {
     private var lease: Long? = null
@@ -67,10 +68,11 @@
         return true
     }
 
-    /** Writes the load anew in every second renewal, if it has changed. */
+    /** Writes the load anew if it has changed, the less often the more VMs do so. */
     private fun refresh(lease: Long): Boolean {
         val current = record.copy(load = load())
-        if (++renewals % RENEWALS_PER_WRITE != 0 || current == written) return true
+        if (++renewals < maxOf(RENEWALS_PER_WRITE, nodes() / NODES_PER_RENEWAL) || current == written) return true
+        renewals = 0
         return write(current, lease)
     }
 
@@ -93,6 +95,9 @@
 
         // Orders for servers take seconds to have an effect; a fresher load would cost more writes for nothing.
         const val RENEWALS_PER_WRITE = 2
+
+        // Each write reaches every VM; this keeps all VMs together at some ten writes a second.
+        const val NODES_PER_RENEWAL = 10
         val RETRY = 300.milliseconds
         val CLOSE_WAIT = 200.milliseconds
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -36,6 +36,7 @@
     clock: Clock,
     leaseClock: Clock,
     fleet: () -> FleetState,
+    private val nodes: () -> Int,
 ) : AutoCloseable {
     private val times = bounds.leaseTimes()
     private val source = "$node@${clock.now().toEpochMilliseconds()}"
@@ -75,7 +76,7 @@
         bounds: BoundSettings,
     ): Instant = minOf(
         UsageWindow.at(now, bounds.usageWindowSeconds.seconds).end + FLUSH_DELAY + flushOffset.milliseconds,
-        now + FLUSH_PERIOD,
+        now + maxOf(FLUSH_PERIOD, FLUSH_PERIOD_PER_NODE * nodes()),
     )
 
     private companion object {
@@ -87,6 +88,9 @@
 
         // A node that is killed loses what it has not flushed, which must stay within the tolerance of a report.
         val FLUSH_PERIOD = 1.25.seconds
+
+        // In a larger fleet each node counts a smaller part, and all together write at most some twenty times a second.
+        val FLUSH_PERIOD_PER_NODE = 60.milliseconds
     }
 }
 
