--- /dev/null
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
@@ -0,0 +1,115 @@
+package org.ragwortlever.daemon.fleet
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.ragwortlever.core.fleet.FleetChange
+import org.ragwortlever.core.fleet.FleetKeys
+import org.ragwortlever.core.fleet.FleetRecord
+import org.ragwortlever.core.fleet.FleetView
+import org.ragwortlever.core.fleet.NodeRecord
+import org.ragwortlever.core.store.StoreChange
+import org.ragwortlever.core.store.StoreChanges
+import org.ragwortlever.core.store.StoreEntry
+import org.ragwortlever.core.store.StoreFailure
+import org.ragwortlever.core.store.StoreRead
+import org.ragwortlever.daemon.platform.ChangeFeed
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.time.Clock
+import kotlin.time.Duration
+
+class FleetFollowerTest {
+    private val listings = LinkedBlockingQueue<Result<StoreRead, StoreFailure>>()
+    private val changes = LinkedBlockingQueue<Result<StoreChanges, StoreFailure>>()
+    private val asked = CopyOnWriteArrayList<Long>()
+    private val seen = LinkedBlockingQueue<Set<String>>()
+    private val removed = CopyOnWriteArrayList<String>()
+    private val feed =
+        object : ChangeFeed {
+            override fun readPrefix(prefix: String): Result<StoreRead, StoreFailure> = listings.take()
+
+            override fun changes(
+                prefix: String,
+                revision: Long,
+                wait: Duration,
+            ): Result<StoreChanges, StoreFailure> {
+                asked += revision
+                return changes.take()
+            }
+        }
+    private val decoder =
+        object : FleetDecoder {
+            override val prefix = ""
+
+            override fun decode(entry: StoreEntry): FleetRecord? = null
+
+            override fun removal(key: String): FleetRecord? = null
+        }
+    private val listener =
+        object : FleetListener {
+            override fun changed(
+                view: FleetView,
+                changes: Set<FleetChange>,
+            ) {
+                seen += view.nodes.keys.toSet()
+            }
+
+            override fun crashSeen(record: FleetRecord.CrashSeen) = Unit
+
+            override fun keyRemoved(key: String) {
+                removed += key
+            }
+        }
+    private val follower = FleetFollower(feed, decoder, listener, Clock.System::now)
+
+    @AfterEach
+    fun close() = follower.close()
+
+    private fun node(name: String) = StoreEntry(FleetKeys.node(name), NodeRecord(name, 1, "10.0.0.1:80", "a", "r").encode(), 1, 1)
+
+    private fun next() = checkNotNull(seen.poll(20, TimeUnit.SECONDS))
+
+    @Test
+    fun `given a store that answers, then the view follows its changes from the listing's revision on`() {
+        listings += Ok(StoreRead(10, listOf(node("one"))))
+        changes += Ok(StoreChanges.Since(12, listOf(StoreChange.Put(node("two")))))
+        changes += Ok(StoreChanges.Since(13, listOf(StoreChange.Removed(FleetKeys.node("one")))))
+        follower.start()
+        expectThat(next()).isEqualTo(setOf("one"))
+        expectThat(next()).isEqualTo(setOf("one", "two"))
+        expectThat(next()).isEqualTo(setOf("two"))
+        expectThat(asked.take(2)).containsExactly(10L, 12L)
+        expectThat(removed).containsExactly(FleetKeys.node("one"))
+    }
+
+    @Test
+    fun `given that the history is gone, then everything is read again and what is not listed is forgotten`() {
+        listings += Ok(StoreRead(10, listOf(node("one"))))
+        listings += Ok(StoreRead(50, listOf(node("two"))))
+        changes += Ok(StoreChanges.HistoryGone)
+        changes += Ok(StoreChanges.Since(51, listOf(StoreChange.Put(node("three")))))
+        follower.start()
+        next()
+        expectThat(next()).isEqualTo(setOf("two"))
+        expectThat(next()).isEqualTo(setOf("two", "three"))
+        expectThat(asked.take(2)).containsExactly(10L, 50L)
+    }
+
+    @Test
+    fun `given a store that is away, when it answers again, then the same revision is asked for`() {
+        listings += Ok(StoreRead(10, listOf(node("one"))))
+        changes += Err(StoreFailure.NoAnswer("timeout"))
+        changes += Ok(StoreChanges.Since(11, listOf(StoreChange.Put(node("two")))))
+        follower.start()
+        next()
+        expectThat(next()).isEqualTo(setOf("one", "two"))
+        expectThat(asked.take(2)).containsExactly(10L, 10L)
+    }
+}
