Follow the store through relays in large fleets

Change: with more than ten VMs a few in each zone ask the store and the others ask those, which also collect the loads. A relay that does not answer or whose state is older than 1.8 s is passed over at once. Zones are in force before servers, and both before requests are taken.

--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetRecords.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetRecords.kt
@@ -49,6 +49,7 @@
  *
  * @property address where callers connect.
  * @property incarnation start of the process, in milliseconds since 1970.
+ * @property peers where other entry VMs connect; empty when it passes nothing on.
  * @property capacity what the VM can bear, in processor cores.
  * @property load what the VM's callers ask of each service, by the service's name.
  */
@@ -60,6 +61,7 @@
     val zone: String,
     val region: String,
     val capacity: Double = 1.0,
+    val peers: String = "",
     val load: Map<String, ServiceLoad> = emptyMap(),
 ) {
     fun encode(): String = Json.encodeToString(serializer(), this)
--- a/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
@@ -16,6 +16,7 @@
  * @property callers where callers connect.
  * @property readiness where the platform asks whether this VM takes requests.
  * @property entryVms where callers ask which entry VMs to use.
+ * @property peerPort port for other entry VMs, on the VM's address; 0 for none.
  * @property metricsPort port of the metrics, on the VM's address; 0 for none.
  * @property store address of the platform's store.
  * @property processorCores what this VM's processor can do, in cores.
@@ -30,6 +31,7 @@
     val callers: String,
     val readiness: String,
     val entryVms: String,
+    val peerPort: Int = 0,
     val metricsPort: Int = 0,
     val store: String,
     val duties: String = "",
@@ -74,6 +76,7 @@
                     settings.duties.isNotEmpty() &&
                         !ADDRESS.matches(settings.duties)
                 },
+                located.errorAt("$.peerPort", "must be from 0 to 65535").takeIf { settings.peerPort !in 0..65535 },
                 located.errorAt("$.processorCores", "must be positive").takeIf { settings.processorCores <= 0 },
                 located.errorAt("$.metricsPort", "must be from 0 to 65535").takeIf { settings.metricsPort !in 0..65535 },
                 located.errorAt("$.bounds.gracePeriodSeconds", "must be positive").takeIf { settings.bounds.gracePeriodSeconds <= 0 },
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortlever/core/fleet/ChangeLogTest.kt
@@ -0,0 +1,56 @@
+package org.ragwortlever.core.fleet
+
+import org.junit.jupiter.api.Test
+import org.ragwortlever.core.store.StoreChange
+import org.ragwortlever.core.store.StoreEntry
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class ChangeLogTest {
+    private val start = Instant.fromEpochSeconds(1000)
+    private val log = ChangeLog()
+
+    private fun put(key: String) = StoreChange.Put(StoreEntry(key, "v", 1, 1))
+
+    @Test
+    fun `given changes since a listing, then a VM gets those it lacks, in order`() {
+        log.reset(10, start)
+        log.append(12, listOf(put("a")), start)
+        log.append(15, listOf(put("b"), StoreChange.Removed("a")), start)
+        expectThat(log.since(10, start).changes).isNotNull().get { map { it.key } }.containsExactly("a", "b", "a")
+        expectThat(log.since(12, start).changes).isNotNull().get {
+            map { it.toStoreChange() }
+        }.containsExactly(put("b"), StoreChange.Removed("a"))
+        expectThat(log.since(15, start).changes).isEqualTo(emptyList())
+    }
+
+    @Test
+    fun `given a VM whose revision is older than what is kept, then it is told to read everything`() {
+        log.reset(10, start)
+        expectThat(log.since(9, start).changes).isNull()
+        log.append(12, listOf(put("a")), start)
+        log.append(13, listOf(put("b")), start + 60.seconds)
+        expectThat(log.since(10, start + 60.seconds).changes).isNull()
+        expectThat(log.since(12, start + 60.seconds).changes).isNotNull()
+    }
+
+    @Test
+    fun `given a relay that no longer hears from the store, then its answers say how old its state is`() {
+        log.reset(10, start)
+        expectThat(log.since(10, start + 3.seconds).ageMilliseconds).isEqualTo(3000)
+        log.append(10, emptyList(), start + 3.seconds - 200.milliseconds)
+        expectThat(log.since(10, start + 3.seconds).ageMilliseconds).isEqualTo(200)
+    }
+
+    @Test
+    fun `given a VM that is ahead of the relay, then the relay's state counts as old`() {
+        log.reset(10, start)
+        expectThat(log.since(20, start).ageMilliseconds).isEqualTo(3_600_000)
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.fold
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.ragwortlever.core.backend.BackendServer
+import org.ragwortlever.core.fleet.ChangeLog
 import org.ragwortlever.core.fleet.FleetChange
 import org.ragwortlever.core.fleet.FleetKeys
 import org.ragwortlever.core.fleet.FleetRecord
@@ -54,6 +55,7 @@
     private val decoder: FleetDecoder,
     private val listener: FleetListener,
     private val now: () -> Instant,
+    private val log: ChangeLog = ChangeLog(),
 ) : AutoCloseable {
     private val view = FleetView()
     private var revision: Long? = null
@@ -90,7 +92,7 @@
         val answered = if (from == null) readAll() else readChanges(from)
         val expired = view.expire(now())
         if (expired.isNotEmpty()) listener.changed(view, expired)
-        return if (answered) STEP else RETRY
+        return if (answered) feed.pause else RETRY
     }
 
     private fun readAll(): Boolean =
@@ -99,6 +101,7 @@
                 answered()
                 view.replaceAll(read.entries.mapNotNull(::decode), now())
                 revision = read.revision
+                log.reset(read.revision, now())
                 logger.info {
                     eventLine(
                         "fleet-read",
@@ -145,6 +148,7 @@
             record?.let { apply(it) }?.let { changes += it }
         }
         revision = answer.revision
+        log.append(answer.revision, answer.changes, now() - feed.age)
         if (changes.isNotEmpty()) listener.changed(view, changes)
     }
 
@@ -196,9 +200,6 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-
-        // Bounds how late a change is seen; the platform allows two seconds for a configuration or a leaving server.
-        val STEP = 900.milliseconds
         val RETRY = 300.milliseconds
 
         // A step without changes ends with this; shorter than the call's own timeout.
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -15,6 +15,7 @@
 import org.ragwortlever.core.dispatch.DispatchOptions
 import org.ragwortlever.core.dispatch.Dispatcher
 import org.ragwortlever.core.dispatch.RepeatBound
+import org.ragwortlever.core.fleet.ChangeLog
 import org.ragwortlever.core.fleet.CrashRecord
 import org.ragwortlever.core.fleet.FleetChange
 import org.ragwortlever.core.fleet.FleetRecord
@@ -87,12 +88,22 @@
             settings.region,
             settings.processorCores,
         )
+    private val log = ChangeLog()
+    private val relay = Relay(log, clock::now)
+    private val feed = RelayedFeed(settings.nodeId, settings.zone, ports.feed, { nodes.values }, { load }, clock::now)
     private val crashes = CrashReporter(settings.nodeId, ports.store)
-    private val registration = NodeRegistration(record, ports.store, { nodes.size }) { load }
+    private val registration = NodeRegistration(record, ports.store, { nodes.size }) {
+        if (feed.isRelayed) {
+            emptyMap()
+        } else {
+            load +
+                relay.load()
+        }
+    }
     private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.repeatBound()))
     private val gateway = DispatchGateway(control, dispatcher, clock, ::crashed)
     private val servers = ServerClient(ports.headers)
-    private val follower = FleetFollower(ports.feed, ports.decoder, Listener(), clock::now)
+    private val follower = FleetFollower(feed, ports.decoder, Listener(), clock::now, log)
 
     @Volatile
     private var table: RouteTable? = null
@@ -167,7 +178,7 @@
 
     private fun fleetState(): FleetState {
         val others = nodes.values.filter { it.name != settings.nodeId }.map { it.load }
-        val total = (others + load).flatMap { it.entries }.groupBy({ it.key }, { it.value })
+        val total = (others + load + relay.load()).flatMap { it.entries }.groupBy({ it.key }, { it.value })
         return FleetState(table?.document, announced, total.mapValues { (_, loads) -> loads.reduce(ServiceLoad::plus) })
     }
 
@@ -185,7 +196,9 @@
         val (host, port) = settings.callers.split(':')
         val callers = HttpListener(host, port.toInt(), open.counting(calls::handle))
         val metricsListener = HttpListener(settings.address, settings.metricsPort, ::metrics, isQuick = true)
-        return listOf(callers) + ports.listeners(settings, status) + listOf(metricsListener).filter { settings.metricsPort > 0 }
+        val relayListener = HttpListener(settings.address, settings.peerPort, relay::handle)
+        val optional = listOf(metricsListener.takeIf { settings.metricsPort > 0 }, relayListener.takeIf { settings.peerPort > 0 })
+        return listOf(callers) + ports.listeners(settings, status) + optional.filterNotNull()
     }
 
     private fun metrics(request: Request): Response =
@@ -196,17 +209,20 @@
             view: FleetView,
             changes: Set<FleetChange>,
         ) {
-            if (FleetChange.CONFIGURATION in changes) configure(view)
-            if (FleetChange.SERVERS in changes) announced = view.servers.all.map { it.server }
-            if (FleetChange.SERVERS in changes) gateway.post(DispatchEvent.ServersChanged(view.servers.usable))
+            if (FleetChange.NODES in changes) {
+                nodes = view.nodes.toMap()
+                gateway.post(DispatchEvent.NodesChanged(nodes.keys))
+            }
+            // A request must not find servers before it is known which of them are taken out.
             if (FleetChange.ZONES in changes) {
                 logger.info { eventLine("zones-taken-out", "zones" to view.zonesTakenOut) }
                 gateway.post(DispatchEvent.ZonesTakenOut(view.zonesTakenOut))
             }
-            if (FleetChange.NODES in changes) {
-                nodes = view.nodes.toMap()
-                gateway.post(DispatchEvent.NodesChanged(nodes.keys))
+            if (FleetChange.SERVERS in changes) {
+                announced = view.servers.all.map { it.server }
+                gateway.post(DispatchEvent.ServersChanged(view.servers.usable))
             }
+            if (FleetChange.CONFIGURATION in changes) configure(view)
         }
 
         override fun keyRemoved(key: String) {
@@ -266,6 +282,8 @@
     }
 }
 
+private fun FleetSettings.peers(): String = if (peerPort > 0) "$address:$peerPort" else ""
+
 private fun FleetSettings.repeatBound() = RepeatBound(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
 
 private fun FleetSettings.limits() =
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/ChangeFeed.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/ChangeFeed.kt
@@ -8,6 +8,12 @@
 import kotlin.time.Duration
 
 interface ChangeFeed {
+    /** How long to wait between two questions for changes. */
+    val pause: Duration
+
+    /** Age of the state that the last answer confirmed; zero where the store itself answered. */
+    val age: Duration get() = Duration.ZERO
+
     /** Reads every key that starts with [prefix]. */
     fun readPrefix(prefix: String): Result<StoreRead, StoreFailure>
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
@@ -33,6 +33,8 @@
     private val removed = CopyOnWriteArrayList<String>()
     private val feed =
         object : ChangeFeed {
+            override val pause = Duration.ZERO
+
             override fun readPrefix(prefix: String): Result<StoreRead, StoreFailure> = listings.take()
 
             override fun changes(
--- /dev/null
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/RelayChoiceTest.kt
@@ -0,0 +1,50 @@
+package org.ragwortlever.daemon.fleet
+
+import org.junit.jupiter.api.Test
+import org.ragwortlever.core.fleet.NodeRecord
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/** Pattern: a fleet that grows while each call to the store has its price. */
+class RelayChoiceTest {
+    private fun nodes(
+        count: Int,
+    ) = (0 until count).map { NodeRecord("vm-$it", 1, "10.0.0.1:80", "abc"[it % 3].toString(), "r", 1.0, "10.0.0.$it:7") }
+
+    private fun relay(
+        node: NodeRecord,
+        nodes: List<NodeRecord>,
+        passedOver: Set<String> = emptySet(),
+    ) = relayFor(node.name, node.zone, nodes, passedOver)
+
+    @Test
+    fun `given a small fleet, then every VM asks the store`() {
+        val nodes = nodes(8)
+        expectThat(nodes.map { relay(it, nodes) }).all { isNull() }
+    }
+
+    @Test
+    fun `given a large fleet, then few VMs ask the store and the others one of their zone that does`() {
+        val nodes = nodes(69)
+        val asking = nodes.filter { relay(it, nodes) == null }
+        expectThat(asking.size).isIn(3..4)
+        nodes.mapNotNull { node -> relay(node, nodes)?.let { node to it } }.forEach { (node, relay) ->
+            expectThat(relay.zone).isEqualTo(node.zone)
+            expectThat(relay).isIn(asking)
+        }
+    }
+
+    @Test
+    fun `given a relay that does not answer, then another one is asked`() {
+        val nodes = nodes(69)
+        val node = nodes.first { relay(it, nodes) != null }
+        val first = checkNotNull(relay(node, nodes))
+        val second = relay(node, nodes, setOf(first.name))
+        expectThat(second?.name == first.name).isEqualTo(false)
+        expectThat(second ?: node).isNotNull()
+    }
+}
