Announce where other VMs connect, and count all processors of a VM

Cause: a trial on a scratch copy showed 16 nodes known and no relay chosen: the entries had no address for peers, as the line that set it had been lost in a reformatting. Change: named arguments; capacity is share times processors.

--- a/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
@@ -19,7 +19,7 @@
  * @property peerPort port for other entry VMs, on the VM's address; 0 for none.
  * @property metricsPort port of the metrics, on the VM's address; 0 for none.
  * @property store address of the platform's store.
- * @property processorCores what this VM's processor can do, in cores.
+ * @property processorShare part of each of its [processors] that this VM may use.
  * @property duties address that takes usage reports and orders for backend servers; empty for none.
  */
 @Serializable
@@ -35,7 +35,8 @@
     val metricsPort: Int = 0,
     val store: String,
     val duties: String = "",
-    val processorCores: Double = 1.0,
+    val processorShare: Double = 1.0,
+    val processors: Int = 1,
     val http: HttpSettings = HttpSettings(),
     val bounds: BoundSettings = BoundSettings(),
 )
@@ -77,7 +78,8 @@
                         !ADDRESS.matches(settings.duties)
                 },
                 located.errorAt("$.peerPort", "must be from 0 to 65535").takeIf { settings.peerPort !in 0..65535 },
-                located.errorAt("$.processorCores", "must be positive").takeIf { settings.processorCores <= 0 },
+                located.errorAt("$.processorShare", "must be positive").takeIf { settings.processorShare <= 0 },
+                located.errorAt("$.processors", "must be positive").takeIf { settings.processors <= 0 },
                 located.errorAt("$.metricsPort", "must be from 0 to 65535").takeIf { settings.metricsPort !in 0..65535 },
                 located.errorAt("$.bounds.gracePeriodSeconds", "must be positive").takeIf { settings.bounds.gracePeriodSeconds <= 0 },
                 located.errorAt("$.bounds.leaseSeconds", "must be at least 1").takeIf { settings.bounds.leaseSeconds < 1 },
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -81,12 +81,13 @@
     private val open = OpenExchanges()
     private val record =
         NodeRecord(
-            settings.nodeId,
-            clock.now().toEpochMilliseconds(),
-            settings.callers,
-            settings.zone,
-            settings.region,
-            settings.processorCores,
+            name = settings.nodeId,
+            incarnation = clock.now().toEpochMilliseconds(),
+            address = settings.callers,
+            zone = settings.zone,
+            region = settings.region,
+            capacity = settings.processorShare * settings.processors,
+            peers = if (settings.peerPort > 0) "${settings.address}:${settings.peerPort}" else "",
         )
     private val log = ChangeLog()
     private val relay = Relay(log, clock::now)
@@ -282,8 +283,6 @@
     }
 }
 
-private fun FleetSettings.peers(): String = if (peerPort > 0) "$address:$peerPort" else ""
-
 private fun FleetSettings.repeatBound() = RepeatBound(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
 
 private fun FleetSettings.limits() =
