Flush usage once a window in large fleets

A VM that is killed loses a sixteenth of at most one window, within the tolerance of a report. Change: the period grows by 0.3 s a VM.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RelayedFeed.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RelayedFeed.kt
@@ -86,8 +86,7 @@
     ): Result<StoreChanges, StoreFailure> {
         passedOver.values.removeIf { now() > it }
         val relay = relayFor(self, zone, nodes(), passedOver.keys)
-        if (relay?.name != lastRelay) logger.info { eventLine("relay-chosen", "relay" to (relay?.name ?: "store"), "nodes" to nodes().size) }
-        lastRelay = relay?.name
+        logIfChanged(relay)
         if (relay != null) ask(relay, revision, wait)?.let { return Ok(it) }
         isRelayed = false
         age = Duration.ZERO
@@ -118,6 +117,12 @@
         return StoreChanges.Since(answer.revision, changes.map { it.toStoreChange() })
     }
 
+    private fun logIfChanged(relay: NodeRecord?) {
+        if (relay?.name == lastRelay) return
+        lastRelay = relay?.name
+        logger.info { eventLine("relay-chosen", "relay" to (relay?.name ?: "store"), "nodes" to nodes().size) }
+    }
+
     private fun passOver(
         relay: NodeRecord,
         reason: String,
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -89,8 +89,8 @@
         // A node that is killed loses what it has not flushed, which must stay within the tolerance of a report.
         val FLUSH_PERIOD = 1.25.seconds
 
-        // In a larger fleet each node counts a smaller part, and all together write at most some twenty times a second.
-        val FLUSH_PERIOD_PER_NODE = 60.milliseconds
+        // In a larger fleet each node counts a smaller part, and all together write about three times a second.
+        val FLUSH_PERIOD_PER_NODE = 300.milliseconds
     }
 }
 
