--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/DaemonCommand.kt
@@ -15,6 +15,7 @@
 import com.github.michaelbull.result.getOrElse
 import org.ragwortlever.core.settings.Settings
 import org.ragwortlever.core.settings.parseSettings
+import org.ragwortlever.daemon.control.flushLogs
 import org.slf4j.LoggerFactory
 import java.util.concurrent.CountDownLatch
 import kotlin.io.path.readText
@@ -40,6 +41,7 @@
             Thread {
                 daemon.drain()
                 daemon.close()
+                flushLogs()
                 // A process that SIGTERM ends exits with 143 by default; a completed drain is a success.
                 Runtime.getRuntime().halt(0)
             },
