Look for the duties' lease after a whole listing, and log its loss

A removal in a forgotten history is never told, so candidates would look for the lease only at their next turn, up to nine seconds later; and the loss of a lease between two steps was not logged. Change: a listing without the lease key makes candidates look at once; the last logged holder decides whether a line is due.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -48,6 +48,9 @@
 
     /** The entry [key] has gone from the store. */
     fun keyRemoved(key: String)
+
+    /** A whole listing with [keys] was read; what is not among them may have gone without being told. */
+    fun listed(keys: Set<String>)
 }
 
 class FleetFollower(
@@ -111,6 +114,7 @@
                     )
                 }
                 listener.changed(view, FleetChange.entries.toSet())
+                listener.listed(read.entries.mapTo(HashSet()) { it.key })
                 true
             },
             failure = ::failed,
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -230,6 +230,10 @@
             if (key == UsageKeys.LEASE) duties?.leaseKeyFreed()
         }
 
+        override fun listed(keys: Set<String>) {
+            if (UsageKeys.LEASE !in keys) duties?.leaseKeyFreed()
+        }
+
         override fun crashSeen(record: FleetRecord.CrashSeen) =
             gateway.post(DispatchEvent.CrashReported(record.crash.server, record.crash.zone, record.crash.digests))
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/LeaseKeeper.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/LeaseKeeper.kt
@@ -31,6 +31,7 @@
 ) : DutyLease,
     AutoCloseable {
     private val times = claim.times
+    private var loggedFencing: Long? = null
 
     @Volatile
     private var claim = claim
@@ -67,10 +68,14 @@
             if (claim.stage is LeaseStage.Looking) claim = claim.copy(stage = LeaseStage.Looking(asked))
         }
         val call = claim.next(asked) ?: return false
-        val before = claim.held(asked)?.fencing
         claim = claim.answered(store.answer(call), asked, now(), preferred())
         val after = claim.held(now())?.fencing
-        if (before != after) logger.info { eventLine("role-lease", "key" to claim.key, "fencing" to after, "before" to before) }
+        if (loggedFencing !=
+            after
+        ) {
+            logger.info { eventLine("role-lease", "key" to claim.key, "fencing" to after, "before" to loggedFencing) }
+        }
+        loggedFencing = after
         return true
     }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
@@ -31,6 +31,7 @@
     private val asked = CopyOnWriteArrayList<Long>()
     private val seen = LinkedBlockingQueue<Set<String>>()
     private val removed = CopyOnWriteArrayList<String>()
+    private val listedKeys = CopyOnWriteArrayList<Set<String>>()
     private val feed =
         object : ChangeFeed {
             override val pause = Duration.ZERO
@@ -65,6 +66,10 @@
 
             override fun crashSeen(record: FleetRecord.CrashSeen) = Unit
 
+            override fun listed(keys: Set<String>) {
+                listedKeys += keys
+            }
+
             override fun keyRemoved(key: String) {
                 removed += key
             }
@@ -102,6 +107,8 @@
         expectThat(next()).isEqualTo(setOf("two"))
         expectThat(next()).isEqualTo(setOf("two", "three"))
         expectThat(asked.take(2)).containsExactly(10L, 50L)
+        // A removal in the forgotten history is never told: who waits for a key to go learns of it from the listing.
+        expectThat(listedKeys).containsExactly(setOf(FleetKeys.node("one")), setOf(FleetKeys.node("two")))
     }
 
     @Test
