Share the socket factory and the HTTP limits, and remove what nothing uses

Cause: the reading of the diff. Two socket factories differed in what they set on a socket only, two functions turned the same settings into limits, and a property of the server state had no caller.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
@@ -34,9 +34,6 @@
     /** Prompt tokens of this node's requests that the server has probably not read yet. */
     val unreadTokens: Int get() = running.values.sumOf { if (it.firstByteAt == null) it.uncachedTokens else 0 }
 
-    /** Tokens that this node's requests may occupy in the server's memory. */
-    val occupiedTokens: Int get() = running.values.sumOf { it.request.promptTokens + it.request.outputTokens }
-
     /** Notes that an attempt with [digest] broke off; the server may have crashed under it. */
     fun brokeOff(
         digest: String,
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/Daemon.kt
@@ -40,7 +40,6 @@
 import org.ragwortlever.daemon.platform.VirtualMachine
 import org.ragwortlever.daemon.platform.VirtualMachineList
 import org.ragwortlever.daemon.role.ExclusiveRoles
-import org.ragwortlever.http.HttpLimits
 import org.ragwortlever.http.OkHttpHandler
 import org.ragwortlever.http.UndertowServer
 import org.ragwortlever.http.markingSends
@@ -112,7 +111,7 @@
         Gauge.builder("ragwortlever.requests.open") { gateway.openRequests }.register(metrics)
         Gauge.builder("ragwortlever.configuration.revision") { follower.current.revision }.register(metrics)
         callerServer =
-            open.counting(callerRoutes().handler).asServer(UndertowServer(settings.address, settings.callerPort, settings.limits()))
+            open.counting(callerRoutes().handler).asServer(UndertowServer(settings.address, settings.callerPort, settings.http.limits()))
         operatorServer = operatorRoutes().handler.asServer(UndertowServer(settings.address, settings.operatorPort))
     }
 
@@ -234,11 +233,3 @@
         const val DRAIN_POLL_MILLISECONDS = 50L
     }
 }
-
-private fun Settings.limits() =
-    HttpLimits(
-        headerBytes = http.headerBytes,
-        bodyBytes = http.bodyBytes,
-        idleMilliseconds = http.idleSeconds * 1000,
-        workerThreads = http.workerThreads,
-    )
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/HttpSettingsLimits.kt
@@ -0,0 +1,13 @@
+// Turns the settings of the callers' side into the limits of the HTTP server.
+package org.ragwortlever.daemon
+
+import org.ragwortlever.core.settings.HttpSettings
+import org.ragwortlever.http.HttpLimits
+
+internal fun HttpSettings.limits() =
+    HttpLimits(
+        headerBytes = headerBytes,
+        bodyBytes = bodyBytes,
+        idleMilliseconds = idleSeconds * 1000,
+        workerThreads = workerThreads,
+    )
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -36,12 +36,12 @@
 import org.ragwortlever.daemon.gateway.RoutedCalls
 import org.ragwortlever.daemon.gateway.RoutedHeaders
 import org.ragwortlever.daemon.gateway.ServerClient
+import org.ragwortlever.daemon.limits
 import org.ragwortlever.daemon.platform.ChangeFeed
 import org.ragwortlever.daemon.platform.KeyValueStore
 import org.ragwortlever.daemon.role.DutyPorts
 import org.ragwortlever.daemon.role.FleetDuties
 import org.ragwortlever.daemon.role.FleetState
-import org.ragwortlever.http.HttpLimits
 import org.ragwortlever.http.HttpListener
 import org.ragwortlever.http.UndertowListeners
 import java.util.concurrent.TimeUnit
@@ -136,7 +136,7 @@
         }
     private val calls =
         RoutedCalls(gateway, servers, ports.headers, { table }, { leaving }, Observer(), clock::now)
-    private val server = UndertowListeners(listeners(), settings.limits())
+    private val server = UndertowListeners(listeners(), settings.http.limits())
 
     fun start() {
         Gauge.builder("ragwortlever.requests.open") { open.count }.register(metrics)
@@ -288,11 +288,3 @@
 }
 
 private fun FleetSettings.repeatBound() = RepeatBound(bounds.retryRatio, bounds.retryExtra, bounds.retryWindowSeconds.seconds)
-
-private fun FleetSettings.limits() =
-    HttpLimits(
-        headerBytes = http.headerBytes,
-        bodyBytes = http.bodyBytes,
-        idleMilliseconds = http.idleSeconds * 1000,
-        workerThreads = http.workerThreads,
-    )
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
@@ -15,6 +15,7 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.dispatch.AttemptEnd
 import org.ragwortlever.core.dispatch.DispatchEffect
 import org.ragwortlever.core.dispatch.DispatchEvent
@@ -168,7 +169,7 @@
             content: ByteArray,
         ): Response? {
             val status = base.status.code
-            ended(AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR), "status $status")
+            ended(AttemptEnd.Failed(ServerFailure.ERROR), "status $status")
             when (val decision = ticket.awaitDecision()) {
                 is DispatchEffect.Send -> {
                     return attempt(decision)
@@ -207,7 +208,7 @@
             val end = if (status >=
                 SERVER_ERROR
             ) {
-                AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR, canResume = false)
+                AttemptEnd.Failed(ServerFailure.ERROR, canResume = false)
             } else {
                 AttemptEnd.Answered
             }
@@ -320,7 +321,7 @@
                 val answering = open(decision, lastEventId) ?: continue
                 if (answering.response.isSuccessful) return answering.response.body.source()
                 answering.response.close()
-                ended(AttemptEnd.Failed(org.ragwortlever.core.backend.ServerFailure.ERROR), "status ${answering.response.code}")
+                ended(AttemptEnd.Failed(ServerFailure.ERROR), "status ${answering.response.code}")
             }
         }
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/BoundedSender.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/BoundedSender.kt
@@ -10,10 +10,9 @@
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
+import org.ragwortlever.http.UnconnectedSocketFactory
 import java.io.IOException
 import java.net.ConnectException
-import java.net.Socket
-import javax.net.SocketFactory
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -90,30 +89,4 @@
 }
 
 /** Sockets that drop unsent bytes on close, so that the kernel delivers nothing after the deadline. */
-private object AbortingSocketFactory : SocketFactory() {
-    override fun createSocket(): Socket = Socket().apply { setSoLinger(true, 0) }
-
-    override fun createSocket(
-        host: String?,
-        port: Int,
-    ): Socket = throw UnsupportedOperationException("OkHttp connects its sockets itself")
-
-    override fun createSocket(
-        host: String?,
-        port: Int,
-        localHost: java.net.InetAddress?,
-        localPort: Int,
-    ): Socket = throw UnsupportedOperationException("OkHttp connects its sockets itself")
-
-    override fun createSocket(
-        host: java.net.InetAddress?,
-        port: Int,
-    ): Socket = throw UnsupportedOperationException("OkHttp connects its sockets itself")
-
-    override fun createSocket(
-        address: java.net.InetAddress?,
-        port: Int,
-        localAddress: java.net.InetAddress?,
-        localPort: Int,
-    ): Socket = throw UnsupportedOperationException("OkHttp connects its sockets itself")
-}
+private object AbortingSocketFactory : UnconnectedSocketFactory({ setSoLinger(true, 0) })
