--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
@@ -170,23 +170,11 @@
         ): Response? {
             val status = base.status.code
             ended(AttemptEnd.Failed(ServerFailure.ERROR), "status $status")
-            when (val decision = ticket.awaitDecision()) {
-                is DispatchEffect.Send -> {
-                    return attempt(decision)
-                }
-                else -> {
-                    gateway.release(ticket)
-                    val promises = status in NOT_RUN_STATUSES
-                    val response = if (promises) {
-                        return refused(
-                            MAY_HAVE_RUN,
-                        )
-                    } else {
-                        base.body(Body(content.inputStream(), content.size.toLong()))
-                    }
-                    return finishLogged(response, status, now() - arrival)
-                }
-            }
+            val decision = ticket.awaitDecision()
+            if (decision is DispatchEffect.Send) return attempt(decision)
+            gateway.release(ticket)
+            if (status in NOT_RUN_STATUSES) return refused(MAY_HAVE_RUN)
+            return finishLogged(base.body(Body(content.inputStream(), content.size.toLong())), status, now() - arrival)
         }
 
         private fun stream(
@@ -205,13 +193,8 @@
             status: Int,
             first: Duration,
         ): Response {
-            val end = if (status >=
-                SERVER_ERROR
-            ) {
-                AttemptEnd.Failed(ServerFailure.ERROR, canResume = false)
-            } else {
-                AttemptEnd.Answered
-            }
+            val failed = AttemptEnd.Failed(ServerFailure.ERROR, canResume = false)
+            val end = if (status >= SERVER_ERROR) failed else AttemptEnd.Answered
             gateway.post(DispatchEvent.AttemptEnded(request.key, end))
             gateway.release(ticket)
             if (status in NOT_RUN_STATUSES) return refused(MAY_HAVE_RUN)
