Sum a relay's own load with that of the VMs that ask it

Cause: the registration added two maps with Kotlin's plus, which replaces equal keys, so a relay's entry lacked its own callers' load and the holder of the duties ordered too few servers in fleets of more than ten VMs. The same sum stood in three places; one function beside ServiceLoad now serves all.

RelayLoadTest failed first with the old sum (0.75 s and 5 running found where 1.75 s and 9 were asked for) and passes now. Ruled out: the holder's own sum, which was right.

--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetRecords.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetRecords.kt
@@ -81,6 +81,10 @@
     operator fun plus(other: ServiceLoad) = ServiceLoad(readSeconds + other.readSeconds, running + other.running)
 }
 
+/** The loads of several entry VMs together, by service. */
+fun Iterable<Map<String, ServiceLoad>>.total(): Map<String, ServiceLoad> =
+    flatMap { it.entries }.groupBy({ it.key }, { it.value }).mapValues { (_, parts) -> parts.reduce(ServiceLoad::plus) }
+
 /** A backend server failed under requests with [digests]. */
 @Serializable
 data class CrashRecord(
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -23,6 +23,7 @@
 import org.ragwortlever.core.fleet.NodeRecord
 import org.ragwortlever.core.fleet.ServiceLoad
 import org.ragwortlever.core.fleet.entryVmsFor
+import org.ragwortlever.core.fleet.total
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.route.RouteTable
 import org.ragwortlever.core.settings.FleetSettings
@@ -93,14 +94,7 @@
     private val relay = Relay(log, clock::now)
     private val feed = RelayedFeed(settings.nodeId, settings.zone, ports.feed, { nodes.values }, { load }, clock::now)
     private val crashes = CrashReporter(settings.nodeId, ports.store)
-    private val registration = NodeRegistration(record, ports.store, { nodes.size }) {
-        if (feed.isRelayed) {
-            emptyMap()
-        } else {
-            load +
-                relay.load()
-        }
-    }
+    private val registration = NodeRegistration(record, ports.store, { nodes.size }, ::loadToRegister)
     private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.repeatBound()))
     private val gateway = DispatchGateway(control, dispatcher, clock, ::crashed)
     private val servers = ServerClient(ports.headers)
@@ -179,10 +173,12 @@
 
     private fun fleetState(): FleetState {
         val others = nodes.values.filter { it.name != settings.nodeId }.map { it.load }
-        val total = (others + load + relay.load()).flatMap { it.entries }.groupBy({ it.key }, { it.value })
-        return FleetState(table?.document, announced, total.mapValues { (_, loads) -> loads.reduce(ServiceLoad::plus) })
+        return FleetState(table?.document, announced, (others + relay.loadWith(load)).total())
     }
 
+    /** A VM that asks a relay gives its load there. */
+    private fun loadToRegister(): Map<String, ServiceLoad> = if (feed.isRelayed) emptyMap() else relay.loadWith(load)
+
     private fun crashed(crash: DispatchEffect.ReportCrash) {
         logger.warn { eventLine("server-crashed", "server" to crash.server, "zone" to crash.zone, "requests" to crash.digests.size) }
         crashes.report(CrashRecord(crash.server, crash.zone, crash.digests))
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/Relay.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/Relay.kt
@@ -12,6 +12,7 @@
 import org.ragwortlever.core.fleet.RelayAnswer
 import org.ragwortlever.core.fleet.RelayQuestion
 import org.ragwortlever.core.fleet.ServiceLoad
+import org.ragwortlever.core.fleet.total
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,14 +32,11 @@
 
     private val loads = ConcurrentHashMap<String, ReportedLoad>()
 
-    /** What the callers of the VMs that ask here want of each service. */
-    fun load(): Map<String, ServiceLoad> {
+    /** What the callers of this VM, [own], and of the VMs that ask here want of each service. */
+    fun loadWith(own: Map<String, ServiceLoad>): Map<String, ServiceLoad> {
         val current = now()
         loads.values.removeIf { current - it.at > LOAD_LIFETIME }
-        return loads.values
-            .flatMap { it.load.entries }
-            .groupBy({ it.key }, { it.value })
-            .mapValues { (_, parts) -> parts.reduce(ServiceLoad::plus) }
+        return (loads.values.map { it.load } + own).total()
     }
 
     fun handle(request: Request): Response {
--- /dev/null
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/RelayLoadTest.kt
@@ -0,0 +1,44 @@
+package org.ragwortlever.daemon.fleet
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.junit.jupiter.api.Test
+import org.ragwortlever.core.fleet.ChangeLog
+import org.ragwortlever.core.fleet.RelayQuestion
+import org.ragwortlever.core.fleet.ServiceLoad
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Pattern: a large fleet under load, in which whoever orders servers learns the load from a few relays. */
+@OptIn(ExperimentalSerializationApi::class)
+class RelayLoadTest {
+    private var now = Instant.fromEpochSeconds(1000)
+    private val relay = Relay(ChangeLog().apply { reset(1, now) }, { now })
+
+    private fun ask(
+        node: String,
+        load: Map<String, ServiceLoad>,
+    ) {
+        val question = Cbor.encodeToByteArray(RelayQuestion.serializer(), RelayQuestion(node, 0, 0, load))
+        relay.handle(Request(Method.POST, Relay.PATH).body(question.inputStream()))
+    }
+
+    @Test
+    fun `given a relay and VMs that ask it with load for one service, then their sum is reported`() {
+        ask("vm-2", mapOf("models" to ServiceLoad(0.5, 3), "orders" to ServiceLoad(0.0, 1)))
+        ask("vm-3", mapOf("models" to ServiceLoad(0.25, 2)))
+        expectThat(relay.loadWith(mapOf("models" to ServiceLoad(1.0, 4))))
+            .isEqualTo(mapOf("models" to ServiceLoad(1.75, 9), "orders" to ServiceLoad(0.0, 1)))
+    }
+
+    @Test
+    fun `given a VM that asks no longer, then its load is forgotten`() {
+        ask("vm-2", mapOf("models" to ServiceLoad(0.5, 3)))
+        now += 5.seconds
+        expectThat(relay.loadWith(emptyMap())).isEqualTo(emptyMap())
+    }
+}
