Give a request's ticket only decisions about requests

A ticket could take a crash report by its type, and so RoutedCalls had a branch for what never comes. DispatchEvent.Tick was never sent. Both are removed; no behaviour changes. Seen by RoutedCallsTest and DispatcherTest.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -103,30 +103,32 @@
         val zone: String,
         val digests: Set<String>,
     ) : DispatchEvent
-
-    /** Time has passed. */
-    data object Tick : DispatchEvent
 }
 
 sealed interface DispatchEffect {
+    /** What is to become of the request [key]. */
+    sealed interface Decision : DispatchEffect {
+        val key: Long
+    }
+
     /**
      * Send the request to [server].
      *
      * @property patience longest time to wait for the first byte before the attempt is given up; null for no limit of its own.
      */
     data class Send(
-        val key: Long,
+        override val key: Long,
         val server: KnownServer,
         val attempt: Int,
         val patience: Duration?,
         val reason: String,
-    ) : DispatchEffect
+    ) : Decision
 
     /** Give the caller its final answer at once. */
     data class Refuse(
-        val key: Long,
+        override val key: Long,
         val refusal: Refusal,
-    ) : DispatchEffect
+    ) : Decision
 
     /** Tell the other entry VMs that [server] failed under requests with [digests]. */
     data class ReportCrash(
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -70,7 +70,6 @@
             is DispatchEvent.ZonesTakenOut -> zonesTakenOut = event.zones
             is DispatchEvent.NodesChanged -> replaceNodes(event.nodes)
             is DispatchEvent.CrashReported -> event.digests.forEach { suspects.failed(it, event.server, event.zone, now) }
-            DispatchEvent.Tick -> Unit
         }
         return effects
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/DispatchGateway.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/DispatchGateway.kt
@@ -14,11 +14,11 @@
 internal class DispatchTicket(
     val request: RoutedRequest,
 ) {
-    private val decisions = LinkedBlockingQueue<DispatchEffect>()
+    private val decisions = LinkedBlockingQueue<DispatchEffect.Decision>()
 
-    fun awaitDecision(): DispatchEffect = decisions.take()
+    fun awaitDecision(): DispatchEffect.Decision = decisions.take()
 
-    fun decided(effect: DispatchEffect) = decisions.add(effect)
+    fun decided(decision: DispatchEffect.Decision) = decisions.add(decision)
 }
 
 /** Runs [dispatcher] on [control]; [onCrash] takes what other entry VMs must learn. */
@@ -46,8 +46,7 @@
 
     private fun execute(effect: DispatchEffect) {
         when (effect) {
-            is DispatchEffect.Send -> tickets[effect.key]?.decided(effect)
-            is DispatchEffect.Refuse -> tickets[effect.key]?.decided(effect)
+            is DispatchEffect.Decision -> tickets[effect.key]?.decided(effect)
             is DispatchEffect.ReportCrash -> onCrash(effect)
         }
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
@@ -135,7 +135,6 @@
                 when (val decision = ticket.awaitDecision()) {
                     is DispatchEffect.Refuse -> return refused(decision.refusal)
                     is DispatchEffect.Send -> attempt(decision)?.let { return it }
-                    is DispatchEffect.ReportCrash -> continue
                 }
             }
         }
