--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/Daemon.kt
@@ -43,6 +43,7 @@
 import org.ragwortlever.http.OkHttpHandler
 import org.ragwortlever.http.UndertowServer
 import org.ragwortlever.http.markingSends
+import org.ragwortlever.http.plainHttpClient
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
@@ -54,8 +55,7 @@
     private val clock = MonotonicClock()
     private val control = ControlLoop()
     private val client: OkHttpClient =
-        OkHttpClient
-            .Builder()
+        plainHttpClient()
             .retryOnConnectionFailure(false)
             .markingSends()
             .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RelayedFeed.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RelayedFeed.kt
@@ -10,7 +10,6 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import org.ragwortlever.core.fleet.NodeRecord
@@ -24,6 +23,7 @@
 import org.ragwortlever.core.store.StoreRead
 import org.ragwortlever.daemon.platform.ChangeFeed
 import org.ragwortlever.http.KeepAliveSocketFactory
+import org.ragwortlever.http.plainHttpClient
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -56,8 +56,7 @@
     private val now: () -> Instant,
 ) : ChangeFeed {
     private val client =
-        OkHttpClient
-            .Builder()
+        plainHttpClient()
             .retryOnConnectionFailure(false)
             .socketFactory(KeepAliveSocketFactory)
             .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -8,7 +8,6 @@
 import okhttp3.Dispatcher
 import okhttp3.Interceptor
 import okhttp3.OkHttpClient
-import okhttp3.Protocol
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
@@ -20,6 +19,7 @@
 import org.ragwortlever.http.NotSentException
 import org.ragwortlever.http.StaleConnectionCheck
 import org.ragwortlever.http.markingSends
+import org.ragwortlever.http.plainHttpClient
 import java.io.IOException
 import java.io.InterruptedIOException
 import java.util.concurrent.TimeUnit
@@ -62,11 +62,9 @@
     private val names: RoutedHeaders,
 ) : AutoCloseable {
     private val client: OkHttpClient =
-        OkHttpClient
-            .Builder()
+        plainHttpClient()
             .retryOnConnectionFailure(false)
             .followRedirects(false)
-            .protocols(listOf(Protocol.HTTP_1_1))
             .socketFactory(KeepAliveSocketFactory)
             .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
             .readTimeout(Duration.ZERO.toJavaDuration())
