Let a starting VM serve before it does anything else

RoutesInForceTest: a request before the first table waits for it; a VM that finds none for long refuses at once.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -100,8 +100,7 @@
     private val servers = ServerClient(ports.headers)
     private val follower = FleetFollower(feed, ports.decoder, Listener(), clock::now, log)
 
-    @Volatile
-    private var table: RouteTable? = null
+    private val routes = RoutesInForce(clock.now(), clock::now)
 
     @Volatile
     private var nodes: Map<String, NodeRecord> = emptyMap()
@@ -121,7 +120,7 @@
 
     private val status =
         object : NodeStatus {
-            override val isReady: Boolean get() = table != null && !leaving
+            override val isReady: Boolean get() = routes.table != null && !leaving
 
             override fun entryVms(
                 caller: String,
@@ -129,20 +128,24 @@
             ): List<NodeRecord> = entryVmsFor(caller, registeredVms(), limit)
         }
     private val calls =
-        RoutedCalls(gateway, servers, ports.headers, { table }, { leaving }, Observer(), clock::now)
+        RoutedCalls(gateway, servers, ports.headers, routes::await, { leaving }, Observer(), clock::now)
     private val server = UndertowListeners(listeners(), settings.http.limits())
 
     fun start() {
         Gauge.builder("ragwortlever.requests.open") { open.count }.register(metrics)
-        Gauge.builder("ragwortlever.configuration.version") { table?.document?.version ?: 0 }.register(metrics)
-        server.start()
+        Gauge.builder("ragwortlever.configuration.version") { routes.table?.document?.version ?: 0 }.register(metrics)
         follower.start()
-        registration.start()
-        duties?.start()
+        server.start()
         control.every(LOAD_PERIOD) { load = dispatcher.load(clock.now()) }
         logger.info { eventLine("started", "node" to settings.nodeId, "zone" to settings.zone, "callers" to settings.callers) }
     }
 
+    /** Not before this VM can serve: until then other work would only delay its first answers. */
+    private fun joinFleet() {
+        registration.start()
+        duties?.start()
+    }
+
     /** Stops gracefully: callers are sent elsewhere, and what runs here is finished while the grace period lasts. */
     fun drain() {
         leaving = true
@@ -173,7 +176,7 @@
 
     private fun fleetState(): FleetState {
         val others = nodes.values.filter { it.name != settings.nodeId }.map { it.load }
-        return FleetState(table?.document, announced, (others + relay.loadWith(load)).total())
+        return FleetState(routes.table?.document, announced, (others + relay.loadWith(load)).total())
     }
 
     /** A VM that asks a relay gives its load there. */
@@ -235,8 +238,9 @@
 
         private fun configure(view: FleetView) {
             val document = view.document ?: return
-            if (table?.document?.version == document.version) return
-            table = RouteTable(document)
+            val before = routes.table
+            if (before?.document?.version == document.version) return
+            routes.replace(RouteTable(document))
             logger.info {
                 eventLine(
                     "configured",
@@ -245,6 +249,7 @@
                     "accounts" to document.accounts.size,
                 )
             }
+            if (before == null) joinFleet()
         }
     }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
@@ -31,6 +31,8 @@
 
     @Volatile
     private var closed = false
+
+    @Volatile
     private var thread: Thread? = null
 
     fun start() {
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RoleThread.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RoleThread.kt
@@ -19,6 +19,8 @@
 ) : AutoCloseable {
     @Volatile
     private var closed = false
+
+    @Volatile
     private var thread: Thread? = null
 
     fun start() {
--- /dev/null
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/RoutesInForceTest.kt
@@ -0,0 +1,35 @@
+package org.ragwortlever.daemon.fleet
+
+import org.junit.jupiter.api.Test
+import org.ragwortlever.core.route.RouteTable
+import org.ragwortlever.core.route.RoutingDocument
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Pattern: all VMs restart at once and callers connect before the configuration has been read. */
+class RoutesInForceTest {
+    private val start = Instant.fromEpochSeconds(1000)
+
+    @Volatile
+    private var now = start
+    private val routes = RoutesInForce(start) { now }
+    private val table = RouteTable(RoutingDocument(1, emptyList(), emptyMap(), emptyList()))
+
+    @Test
+    fun `given a VM that has just started, when a request comes before the first table, then it waits for it`() {
+        val waiting = CompletableFuture.supplyAsync(routes::await)
+        routes.replace(table)
+        expectThat(waiting.get(10, TimeUnit.SECONDS)).isEqualTo(table)
+    }
+
+    @Test
+    fun `given a VM that has found no table for long, when a request comes, then it does not wait`() {
+        now = start + 5.seconds
+        expectThat(CompletableFuture.supplyAsync(routes::await).get(10, TimeUnit.SECONDS)).isNull()
+    }
+}
