See a reclaim of spot servers by what leaves, and change kinds faster

And a refused attempt at spot servers still sent the order that gave an ordinary one up.

Change: a zone whose spot servers all leave without an order is reclaimed; as many ordinary servers change at once as the load leaves spare; a refused spot order leaves the ordinary ones of the zone as they are.

Tests: ScalingPolicyTest has the reclaim, the leaving by an own order and the exchange at low load.

--- a/core/src/main/kotlin/org/ragwortlever/core/backend/BackendServer.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/BackendServer.kt
@@ -11,7 +11,6 @@
  * @property slots requests that the server runs at once.
  * @property coldFor how long the server still bears only light load, counted from the announcement.
  * @property isSpot whether the server may be reclaimed at a few seconds' notice.
- * @property isReclaimed whether the platform takes the server away, against the orders that are in force.
  * @property sequence number of the announcement.
  */
 data class BackendServer(
@@ -24,6 +23,5 @@
     val isDraining: Boolean,
     val coldFor: Duration,
     val isSpot: Boolean,
-    val isReclaimed: Boolean,
     val sequence: Long,
 )
--- a/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -24,11 +24,13 @@
  * Servers of one zone that take requests.
  *
  * @property warmSpot spot servers that bear full load, as all that have run for a while do.
+ * @property leavingSpot spot servers that take no requests any more.
  */
 data class RunningServers(
     val ordinary: Int,
     val spot: Int,
     val warmSpot: Int = spot,
+    val leavingSpot: Int = 0,
 ) {
     val total: Int get() = ordinary + spot
 }
@@ -38,8 +40,9 @@
     private var peak = 0
     private var peakAt = Instant.DISTANT_PAST
     private val spotRefusedAt = HashMap<String, Instant>()
+    private var ordered = emptyMap<String, ZoneServers>()
 
-    /** The platform has no spot server for [zone] at the moment, or takes those away that run there. */
+    /** The platform has no spot server for [zone] at the moment. */
     fun spotUnavailable(
         zone: String,
         now: Instant,
@@ -61,20 +64,36 @@
     ): Map<String, ZoneServers> {
         // Whoever takes the orders over begins with what runs, as the need of the last while is not known.
         if (peakAt == Instant.DISTANT_PAST) notePeak(running.values.sumOf { it.total }, now)
-        val total = heldPeak(needed(load), now).coerceIn(zones.size * floor(range), zones.size * range.maximum)
+        running.filter { (zone, servers) -> isReclaimed(zone, servers) }.forEach { (zone, _) -> spotUnavailable(zone, now) }
+        val need = needed(load)
+        val total = heldPeak(need, now).coerceIn(zones.size * floor(range), zones.size * range.maximum)
+        val spare = (running.values.sumOf { it.ordinary + it.warmSpot } - maxOf(need, total / 2)) / zones.size
         val cheapestFirst = zones.sortedBy { range.zonePrices[it] ?: 1.0 }
-        return cheapestFirst.withIndex().associate { (rank, zone) ->
-            val share = total / zones.size + if (rank < total % zones.size) 1 else 0
-            zone to kinds(range, zone, share.coerceIn(floor(range), range.maximum), running[zone] ?: RunningServers(0, 0), now)
-        }
+        ordered =
+            cheapestFirst.withIndex().associate { (rank, zone) ->
+                val share = total / zones.size + if (rank < total % zones.size) 1 else 0
+                val count = share.coerceIn(floor(range), range.maximum)
+                zone to kinds(range, zone, count, running[zone] ?: RunningServers(0, 0), spare, now)
+            }
+        return ordered
     }
 
-    /** No server is given up before another one has taken its place, so ordinary and spot servers change one for one. */
+    /** The platform takes the spot servers of a zone away all at once, whatever the orders say. */
+    private fun isReclaimed(
+        zone: String,
+        running: RunningServers,
+    ): Boolean = running.leavingSpot > 0 && running.spot == 0 && ordered[zone]?.spot != 0
+
+    /**
+     * No server that the load needs is given up before another one has taken its place, so ordinary and spot servers
+     * change one for one, and [spare] at once while the load is low.
+     */
     private fun kinds(
         range: ScalingRange,
         zone: String,
         count: Int,
         running: RunningServers,
+        spare: Int,
         now: Instant,
     ): ZoneServers {
         if (range.spotPrice == null) return ZoneServers(count, 0)
@@ -84,9 +103,10 @@
         }
         val ordinary = minOf(running.ordinary, (count - running.warmSpot).coerceAtLeast(0))
         val room = range.maximum - ordinary
-        // With every place taken by ordinary servers, one has to go before the first spot server can come.
+        // With every place taken by ordinary servers, some have to go before the first spot servers can come.
         if (room <= running.spot && running.spot < count && running.spot == running.warmSpot) {
-            return ZoneServers(maxOf(0, range.maximum - running.spot - 1), running.spot + 1)
+            val next = minOf(running.spot + maxOf(1, spare), count)
+            return ZoneServers(maxOf(0, range.maximum - next), next)
         }
         return ZoneServers(ordinary, minOf(count, room))
     }
--- a/core/src/test/kotlin/org/ragwortlever/core/backend/Servers.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/backend/Servers.kt
@@ -11,4 +11,4 @@
     isDraining: Boolean = false,
     coldFor: Duration = Duration.ZERO,
     isSpot: Boolean = false,
-) = BackendServer(id, incarnation, service, "10.0.0.1:80", zone, 64, isDraining, coldFor, isSpot, isReclaimed = false, sequence = 1)
+) = BackendServer(id, incarnation, service, "10.0.0.1:80", zone, 64, isDraining, coldFor, isSpot, sequence = 1)
--- a/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
@@ -60,6 +60,28 @@
         expectThat(desired(idle, RunningServers(1, 0), seconds = 10)["b"]).isEqualTo(ZoneServers(1, 3))
     }
 
+    @Test
+    fun `given a zone whose spot servers all leave without an order, then ordinary ones are ordered at once`() {
+        val load = ServiceLoad(readSeconds = 1.2)
+        val before = zones.associateWith { RunningServers(0, 3) }
+        policy.desired(range, load, zones, before, start)
+        val reclaimed = before + ("b" to RunningServers(0, 0, leavingSpot = 3))
+        expectThat(policy.desired(range, load, zones, reclaimed, start + 1.seconds)["b"]).isEqualTo(ZoneServers(3, 0))
+    }
+
+    @Test
+    fun `given spot servers that leave by an order, then the zone still has spot servers to be had`() {
+        val burst = ServiceLoad(readSeconds = 9.0, running = 100)
+        desired(burst, RunningServers(0, 4))
+        expectThat(desired(idle, RunningServers(0, 3, leavingSpot = 1), seconds = 30)["b"]).isEqualTo(ZoneServers(0, 3))
+    }
+
+    @Test
+    fun `given zones full of ordinary servers, when the load has gone, then several change at once`() {
+        val wanted = desired(idle, RunningServers(4, 0))
+        expectThat(wanted.values).all { isEqualTo(ZoneServers(2, 2)) }
+    }
+
     @Test
     fun `given a zone full of ordinary servers, when spot servers are to be had, then they change one for one`() {
         val burst = ServiceLoad(readSeconds = 9.0, running = 100)
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -175,7 +175,6 @@
                 "zone" to server.zone,
                 "address" to server.address,
                 "draining" to server.isDraining,
-                "reclaimed" to server.isReclaimed,
                 "spot" to server.isSpot,
                 "cold-ms" to server.coldFor.inWholeMilliseconds,
                 "incarnation" to server.incarnation,
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
@@ -76,22 +76,23 @@
         val zones = range.zonePrices.keys.ifEmpty { servers.mapTo(HashSet()) { it.zone } }.sorted()
         if (servers.isEmpty()) return
         val policy = policies.getOrPut(service) { ScalingPolicy() }
-        servers.filter { it.isSpot && it.isReclaimed }.forEach { policy.spotUnavailable(it.zone, now()) }
-        val running = zones.associateWith { zone -> servers.filter { it.zone == zone && !it.isDraining }.counts() }
+        val running = zones.associateWith { zone -> servers.filter { it.zone == zone }.counts() }
         val desired = policy.desired(range, state.load[service] ?: ServiceLoad(), zones, running, now())
         desired.forEach { (zone, wanted) ->
-            if (range.spotPrice != null) order(CapacityOrder(service, zone, wanted.spot, isSpot = true), policy, state)
-            order(CapacityOrder(service, zone, wanted.ordinary, isSpot = false), policy, state)
+            // An ordinary server that makes room for a spot server stays if there is none; the next step counts anew.
+            val isSpotRefused = range.spotPrice != null && !order(CapacityOrder(service, zone, wanted.spot, isSpot = true), policy, state)
+            if (!isSpotRefused) order(CapacityOrder(service, zone, wanted.ordinary, isSpot = false), policy, state)
         }
     }
 
+    /** Sends [order] unless it is in force; false when the platform has none of these servers. */
     private fun order(
         order: CapacityOrder,
         policy: ScalingPolicy,
         state: FleetState,
-    ) {
+    ): Boolean {
         val last = confirmed[order]
-        if (last != null && now() - last < REPEAT) return
+        if (last != null && now() - last < REPEAT) return true
         val outcome = orders.send(order, fencing)
         logger.info {
             eventLine(
@@ -112,8 +113,10 @@
             }
             outcome is SendOutcome.Answered && outcome.status == CONFLICT && order.isSpot -> {
                 policy.spotUnavailable(order.zone, now())
+                return false
             }
         }
+        return true
     }
 
     private companion object {
@@ -127,5 +130,12 @@
     }
 }
 
-private fun List<BackendServer>.counts() =
-    RunningServers(count { !it.isSpot }, count { it.isSpot }, count { it.isSpot && it.coldFor <= Duration.ZERO })
+private fun List<BackendServer>.counts(): RunningServers {
+    val (leaving, serving) = partition { it.isDraining }
+    return RunningServers(
+        ordinary = serving.count { !it.isSpot },
+        spot = serving.count { it.isSpot },
+        warmSpot = serving.count { it.isSpot && it.coldFor <= Duration.ZERO },
+        leavingSpot = leaving.count { it.isSpot },
+    )
+}
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedWorld.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedWorld.kt
@@ -80,7 +80,7 @@
         val known =
             servers.mapIndexed { index, server ->
                 KnownServer(
-                    BackendServer("server-$index", 1, "service", server.address, "a", 8, false, Duration.ZERO, false, false, 1),
+                    BackendServer("server-$index", 1, "service", server.address, "a", 8, false, Duration.ZERO, false, 1),
                     Instant.DISTANT_PAST,
                 )
             }
