Renew the entries of relayed VMs less often and write a relay's load at its own pace

Cause: the load of all VMs was written the less often the larger the fleet, which was meant for fleets in which every VM writes. With relays only three or four VMs write, so at 81 VMs the holder of the duties learned of load 8 s late. A relay now writes each second renewal whatever the fleet's size; a relayed VM has nothing to write and renews each 1.8 s of its lease of 4 s.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -94,7 +94,7 @@
     private val relay = Relay(log, clock::now)
     private val feed = RelayedFeed(settings.nodeId, settings.zone, ports.feed, { nodes.values }, { load }, clock::now)
     private val crashes = CrashReporter(settings.nodeId, ports.store)
-    private val registration = NodeRegistration(record, ports.store, { nodes.size }, ::loadToRegister)
+    private val registration = NodeRegistration(record, ports.store, { feed.isRelayed }, ::loadToRegister)
     private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.repeatBound()))
     private val gateway = DispatchGateway(control, dispatcher, clock, ::crashed)
     private val servers = ServerClient(ports.headers)
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
@@ -19,10 +19,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/**
+ * @param isRelayed whether this VM follows the fleet through another one, which then gives this VM's load with its own.
+ */
 class NodeRegistration(
     private val record: NodeRecord,
     private val store: KeyValueStore,
-    private val nodes: () -> Int,
+    private val isRelayed: () -> Boolean,
     private val load: () -> Map<String, ServiceLoad>,
 ) : AutoCloseable {
     private var lease: Long? = null
@@ -42,7 +45,7 @@
                     val kept = runCatching(::keep).onFailure {
                         logger.error { eventLine("registration-failed", "error" to it) }
                     }.getOrDefault(false)
-                    runCatching { Thread.sleep((if (kept) RENEWAL else RETRY).inWholeMilliseconds) }
+                    runCatching { Thread.sleep((if (kept) renewal() else RETRY).inWholeMilliseconds) }
                 }
             }
     }
@@ -70,10 +73,12 @@
         return true
     }
 
-    /** Writes the load anew if it has changed, the less often the more VMs do so. */
+    private fun renewal() = if (isRelayed()) RELAYED_RENEWAL else RENEWAL
+
+    /** Writes the load anew if it has changed. */
     private fun refresh(lease: Long): Boolean {
         val current = record.copy(load = load())
-        if (++renewals < maxOf(RENEWALS_PER_WRITE, nodes() / NODES_PER_RENEWAL) || current == written) return true
+        if (++renewals < RENEWALS_PER_WRITE || current == written) return true
         renewals = 0
         return write(current, lease)
     }
@@ -95,11 +100,11 @@
         val LEASE = 4.seconds
         val RENEWAL = 1.seconds
 
+        // Most VMs of a large fleet, each call at its price; one renewal may still fail before the entry goes.
+        val RELAYED_RENEWAL = 1.8.seconds
+
         // Orders for servers take seconds to have an effect; a fresher load would cost more writes for nothing.
         const val RENEWALS_PER_WRITE = 2
-
-        // Each write reaches every VM; this keeps all VMs together at some ten writes a second.
-        const val NODES_PER_RENEWAL = 10
         val RETRY = 300.milliseconds
         val CLOSE_WAIT = 200.milliseconds
     }
