Let zones with spot servers bear what a reclaim takes away

Change: zones that have spot servers share the whole need; ordinary ones bear only the rest of the need of the last 7 s, not of the 20 s for which spot servers are kept.

--- a/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -1,7 +1,8 @@
 /*
  * How many backend servers of a service should run in each availability zone, and of which kind. Servers follow the
- * load with room for its bursts, since a new one takes seconds to start. Spot servers are preferred for their price;
- * ordinary ones take over in a zone where no spot server is to be had, and they leave only once spot servers serve.
+ * load with room for its bursts, since a new one takes seconds to start. Spot servers are preferred for their price:
+ * while a zone has none, the other zones get more of them, and ordinary ones take over only what these can't bear.
+ * Ordinary servers leave once spot servers serve in their place.
  */
 package org.ragwortlever.core.scaling
 
@@ -37,8 +38,8 @@
 
 /** The scaling of one service; not thread-safe. */
 class ScalingPolicy {
-    private var peak = 0
-    private var peakAt = Instant.DISTANT_PAST
+    private val longPeak = HeldPeak(LONG_PEAK_TIME)
+    private val shortPeak = HeldPeak(SHORT_PEAK_TIME)
     private val spotRefusedAt = HashMap<String, Instant>()
     private var ordered = emptyMap<String, ZoneServers>()
 
@@ -62,22 +63,38 @@
         running: Map<String, RunningServers>,
         now: Instant,
     ): Map<String, ZoneServers> {
-        // Whoever takes the orders over begins with what runs, as the need of the last while is not known.
-        if (peakAt == Instant.DISTANT_PAST) notePeak(running.values.sumOf { it.total }, now)
         running.filter { (zone, servers) -> isReclaimed(zone, servers) }.forEach { (zone, _) -> spotUnavailable(zone, now) }
         val need = needed(load)
-        val total = heldPeak(need, now).coerceIn(zones.size * floor(range), zones.size * range.maximum)
+        // Whoever takes the orders over begins with what runs, as the need of the last while is not known.
+        val total = longPeak.note(need, now, atFirst = running.values.sumOf { it.total })
+        val recent = shortPeak.note(need, now, atFirst = need)
         val spare = (running.values.sumOf { it.ordinary + it.warmSpot } - maxOf(need, total / 2)) / zones.size
-        val cheapestFirst = zones.sortedBy { range.zonePrices[it] ?: 1.0 }
+        val (dear, usual) = zones.sortedBy { range.zonePrices[it] ?: 1.0 }.partition { lacksSpot(range, it, now) }
+        val counts = usual.share(total, floor(range), range)
+        val ordinary = dear.share(recent - counts.values.sum(), range.minimum, range)
         ordered =
-            cheapestFirst.withIndex().associate { (rank, zone) ->
-                val share = total / zones.size + if (rank < total % zones.size) 1 else 0
-                val count = share.coerceIn(floor(range), range.maximum)
-                zone to kinds(range, zone, count, running[zone] ?: RunningServers(0, 0), spare, now)
-            }
+            counts.mapValues { (zone, count) -> kinds(range, count, running[zone] ?: RunningServers(0, 0), spare) } +
+            ordinary.mapValues { (zone, count) -> withoutNewSpot(count, running[zone] ?: RunningServers(0, 0)) }
         return ordered
     }
 
+    private fun lacksSpot(
+        range: ScalingRange,
+        zone: String,
+        now: Instant,
+    ): Boolean = range.spotPrice != null && now < (spotRefusedAt[zone] ?: Instant.DISTANT_PAST) + SPOT_PAUSE
+
+    /** Divides [total] among the zones of this list evenly, the cheapest first; none gets less than [least]. */
+    private fun List<String>.share(
+        total: Int,
+        least: Int,
+        range: ScalingRange,
+    ): Map<String, Int> =
+        withIndex().associate { (rank, zone) ->
+            val part = total / size + if (rank < total % size) 1 else 0
+            zone to part.coerceIn(least, range.maximum)
+        }
+
     /** The platform takes the spot servers of a zone away all at once, whatever the orders say. */
     private fun isReclaimed(
         zone: String,
@@ -90,17 +107,11 @@
      */
     private fun kinds(
         range: ScalingRange,
-        zone: String,
         count: Int,
         running: RunningServers,
         spare: Int,
-        now: Instant,
     ): ZoneServers {
         if (range.spotPrice == null) return ZoneServers(count, 0)
-        if (now < (spotRefusedAt[zone] ?: Instant.DISTANT_PAST) + SPOT_PAUSE) {
-            val spot = minOf(running.spot, count)
-            return ZoneServers(count - spot, spot)
-        }
         val ordinary = minOf(running.ordinary, (count - running.warmSpot).coerceAtLeast(0))
         val room = range.maximum - ordinary
         // With every place taken by ordinary servers, some have to go before the first spot servers can come.
@@ -111,27 +122,19 @@
         return ZoneServers(ordinary, minOf(count, room))
     }
 
+    /** Ordinary servers cost several times as much, so a zone without spot servers gets only what the others can't bear. */
+    private fun withoutNewSpot(
+        count: Int,
+        running: RunningServers,
+    ): ZoneServers {
+        val spot = minOf(running.spot, count)
+        return ZoneServers(count - spot, spot)
+    }
+
     private fun needed(load: ServiceLoad): Int = ceil(
         load.readSeconds / READ_SECONDS_PER_SERVER + load.running / RUNNING_PER_SERVER,
     ).toInt()
 
-    /** The highest need of the last while: bursts come back, and a server that leaves takes its cached prompts with it. */
-    private fun heldPeak(
-        need: Int,
-        now: Instant,
-    ): Int {
-        if (need >= peak || now - peakAt > PEAK_TIME) notePeak(need, now)
-        return peak
-    }
-
-    private fun notePeak(
-        need: Int,
-        now: Instant,
-    ) {
-        peak = need
-        peakAt = now
-    }
-
     /** Enough to begin a burst with; a second and third server of a zone also bear the loss of one. */
     private fun floor(range: ScalingRange): Int =
         minOf(range.maximum, maxOf(range.minimum, if (range.spotPrice == null) ORDINARY_FLOOR else SPOT_FLOOR))
@@ -142,9 +145,40 @@
         const val RUNNING_PER_SERVER = 8.0
         const val ORDINARY_FLOOR = 2
         const val SPOT_FLOOR = 3
-        val PEAK_TIME: Duration = 20.seconds
+
+        // Bursts come back, and a server that leaves takes its cached prompts with it.
+        val LONG_PEAK_TIME: Duration = 20.seconds
+
+        // A new server needs about as long until it bears full load.
+        val SHORT_PEAK_TIME: Duration = 7.seconds
 
         // A reclaim lasts several seconds; asking earlier is refused again.
         val SPOT_PAUSE: Duration = 6.seconds
     }
 }
+
+/** The highest need of the last [time]. */
+private class HeldPeak(
+    private val time: Duration,
+) {
+    private var peak = 0
+    private var at = Instant.DISTANT_PAST
+
+    fun note(
+        need: Int,
+        now: Instant,
+        atFirst: Int,
+    ): Int {
+        if (at == Instant.DISTANT_PAST) set(atFirst, now)
+        if (need >= peak || now - at > time) set(need, now)
+        return peak
+    }
+
+    private fun set(
+        need: Int,
+        now: Instant,
+    ) {
+        peak = need
+        at = now
+    }
+}
