Flush usage with one call, and order ordinary servers only for what needs them

Change: the finished flush is noted; a large fleet flushes a window once, after its end; VMs look at the lease each 30 s beside the watch. UsageFlushCostTest asks for one commit a flush; with the noted flush as it was before, the second flush makes four calls.

Change: ordinary servers for the least need only (a quarter of their time reading), and spot servers are ordered again once ordinary ones make room.

--- a/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -67,7 +67,8 @@
         val need = needed(load)
         // Whoever takes the orders over begins with what runs, as the need of the last while is not known.
         val total = longPeak.note(need, now, atFirst = running.values.sumOf { it.total })
-        val recent = shortPeak.note(need, now, atFirst = need)
+        val leastNeed = neededAtLeast(load)
+        val recent = shortPeak.note(leastNeed, now, atFirst = leastNeed)
         val spare = (running.values.sumOf { it.ordinary + it.warmSpot } - maxOf(need, total / 2)) / zones.size
         val (dear, usual) = zones.sortedBy { range.zonePrices[it] ?: 1.0 }.partition { lacksSpot(range, it, now) }
         val counts = usual.share(total, floor(range), range)
@@ -131,9 +132,13 @@
         return ZoneServers(count - spot, spot)
     }
 
-    private fun needed(load: ServiceLoad): Int = ceil(
-        load.readSeconds / READ_SECONDS_PER_SERVER + load.running / RUNNING_PER_SERVER,
-    ).toInt()
+    /** Servers with which prompts rarely wait for each other. */
+    private fun needed(load: ServiceLoad): Int =
+        ceil(load.readSeconds / READ_SECONDS_PER_SERVER + load.running / RUNNING_PER_SERVER).toInt()
+
+    /** Servers without which the load would not be borne in time; only these are worth the full price. */
+    private fun neededAtLeast(load: ServiceLoad): Int =
+        ceil(load.readSeconds / MOST_READ_SECONDS_PER_SERVER + load.running / MOST_RUNNING_PER_SERVER).toInt()
 
     /** Enough to begin a burst with; a second and third server of a zone also bear the loss of one. */
     private fun floor(range: ScalingRange): Int =
@@ -143,6 +148,10 @@
         // Reading a prompt holds up every answer on the same server, so a server is full long before it always reads.
         const val READ_SECONDS_PER_SERVER = 0.14
         const val RUNNING_PER_SERVER = 8.0
+
+        // With a quarter of its time taken by prompts, a server still answers most of them within their latency target.
+        const val MOST_READ_SECONDS_PER_SERVER = 0.25
+        const val MOST_RUNNING_PER_SERVER = 16.0
         const val ORDINARY_FLOOR = 2
         const val SPOT_FLOOR = 3
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -51,6 +51,7 @@
             source = source,
             nextFlush = { flushAfterWindow(it, bounds) },
             times = UsageTimes(bounds.usageWindowSeconds.seconds, usageGrace(bounds), times, PAUSE),
+            isOpenWindowFlushed = { flushPeriod() < bounds.usageWindowSeconds.seconds },
             reports = ports.reports(sender, bounds.usageWindowSeconds),
         )
 
@@ -76,9 +77,11 @@
         bounds: BoundSettings,
     ): Instant = minOf(
         UsageWindow.at(now, bounds.usageWindowSeconds.seconds).end + FLUSH_DELAY + flushOffset.milliseconds,
-        now + maxOf(FLUSH_PERIOD, FLUSH_PERIOD_PER_NODE * nodes()),
+        now + flushPeriod(),
     )
 
+    private fun flushPeriod() = maxOf(FLUSH_PERIOD, FLUSH_PERIOD_PER_NODE * nodes())
+
     private companion object {
         val PAUSE = 200.milliseconds
 
@@ -106,7 +109,8 @@
         drift = duration / 10,
         sendTimeout = duration / 4,
         retry = duration / 10,
-        candidatePoll = duration * 3,
-        fallbackPoll = duration * 3,
+        // The watch tells when the lease is free; these are for the case that it missed that.
+        candidatePoll = duration * 10,
+        fallbackPoll = duration * 10,
     )
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
@@ -108,8 +108,7 @@
         }
         when {
             outcome is SendOutcome.Answered && outcome.status == OK -> {
-                confirmed.keys.removeAll { it.service == order.service && it.zone == order.zone && it.isSpot == order.isSpot }
-                confirmed[order] = now()
+                noteConfirmed(order)
             }
             outcome is SendOutcome.Answered && outcome.status == CONFLICT && order.isSpot -> {
                 policy.spotUnavailable(order.zone, now())
@@ -119,6 +118,16 @@
         return true
     }
 
+    /** Both kinds together have a maximum, so spot servers are ordered again once ordinary ones have made room. */
+    private fun noteConfirmed(order: CapacityOrder) {
+        val sameZone = confirmed.keys.filter { it.service == order.service && it.zone == order.zone }
+        val (spot, ordinary) = sameZone.partition { it.isSpot }
+        val makesRoom = !order.isSpot && ordinary.any { it.count > order.count }
+        confirmed.keys.removeAll((if (order.isSpot || makesRoom) spot else emptyList()).toSet())
+        if (!order.isSpot) confirmed.keys.removeAll(ordinary.toSet())
+        confirmed[order] = now()
+    }
+
     private companion object {
         val logger = KotlinLogging.logger {}
         val PAUSE = 300.milliseconds
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
@@ -46,6 +46,7 @@
     val pause: Duration = RoleThread.PAUSE,
 )
 
+/** @param isOpenWindowFlushed whether a window that has not ended is flushed as well; a large fleet loses little without it. */
 internal class UsageRole(
     private val store: KeyValueStore,
     private val lease: DutyLease,
@@ -53,6 +54,7 @@
     source: String,
     private val nextFlush: (Instant) -> Instant,
     private val times: UsageTimes = UsageTimes(),
+    private val isOpenWindowFlushed: () -> Boolean = { true },
     private val reports: UsageReports,
 ) : AutoCloseable {
     private val ledger = AtomicReference(UsageLedger(source, windowLength = times.windowLength))
@@ -105,36 +107,43 @@
     override fun close() {
         reportThread.close()
         flushThread.close()
-        flushAll()
+        flushAll(ledger.get().flushes())
     }
 
     private fun flushStep(): Boolean {
         if (now() < flushAt) return false
         flushAt = nextFlush(now())
-        flushAll()
+        flush()
         return true
     }
 
-    private fun flushAll() {
-        ledger.get().flushes().forEach { flush ->
-            if (!run(flush)) return
-            ledger.updateAndGet { it.flushed(flush, now()) }
-        }
+    /** Writes what is due to the store. */
+    fun flush() {
+        val open = UsageWindow.at(now(), times.windowLength).name
+        flushAll(ledger.get().flushes().filter { isOpenWindowFlushed() || it.window != open })
         repeat(deadSources.size) {
             val source = deadSources.poll() ?: return
-            val left = copies.get().flushes(source).filterNot { flush -> run(flush).also { if (it) forget(flush) } }
+            val left = copies.get().flushes(source).filterNot { flush -> (run(flush) != null).also { if (it) forget(flush) } }
             if (left.isNotEmpty()) deadSources += source
         }
     }
 
+    private fun flushAll(flushes: List<UsageFlush>) {
+        flushes.forEach { flush ->
+            val done = run(flush) ?: return
+            ledger.updateAndGet { it.flushed(done, now()) }
+        }
+    }
+
     private fun forget(flush: UsageFlush) {
         copies.updateAndGet { it.flushed(flush) }
     }
 
-    private fun run(flush: UsageFlush): Boolean {
+    /** The flush with the revision that it wrote; null if the store did not take it. */
+    private fun run(flush: UsageFlush): UsageFlush? {
         var current = flush
         while (!current.isOver) current = current.answered(store.answer(current.next()))
-        return current.isDone
+        return current.takeIf { it.isDone }
     }
 
     private fun reportStep(): Boolean {
--- /dev/null
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/UsageFlushCostTest.kt
@@ -0,0 +1,86 @@
+package org.ragwortlever.daemon.role
+
+import com.github.michaelbull.result.Result
+import org.junit.jupiter.api.Test
+import org.ragwortlever.core.lease.HeldLease
+import org.ragwortlever.core.store.StoreFailure
+import org.ragwortlever.core.store.StoreRead
+import org.ragwortlever.core.store.Transaction
+import org.ragwortlever.core.store.TransactionResult
+import org.ragwortlever.daemon.configuration.MemoryStore
+import org.ragwortlever.daemon.platform.KeyValueStore
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Pattern: a large fleet that flushes its counts while each call to the store has its price. */
+class UsageFlushCostTest {
+    private class CountingStore(
+        private val store: KeyValueStore = MemoryStore(),
+    ) : KeyValueStore by store {
+        val calls: MutableList<String> = ArrayList()
+
+        override fun read(key: String): Result<StoreRead, StoreFailure> {
+            calls += "read"
+            return store.read(key)
+        }
+
+        override fun commit(transaction: Transaction): Result<TransactionResult, StoreFailure> {
+            calls += "commit"
+            return store.commit(transaction)
+        }
+    }
+
+    private object NoLease : DutyLease {
+        override fun held(): HeldLease? = null
+
+        override fun isSafeToSend(fencing: Long) = false
+    }
+
+    private var now = Instant.fromEpochSeconds(1000)
+    private val store = CountingStore()
+
+    private fun role(isOpenWindowFlushed: Boolean) =
+        UsageRole(
+            store = store,
+            lease = NoLease,
+            now = { now },
+            source = "vm-1",
+            nextFlush = { it + 1.seconds },
+            times = UsageTimes(windowLength = 5.seconds),
+            isOpenWindowFlushed = { isOpenWindowFlushed },
+            reports = { _, _ -> SendOutcome.NotSent },
+        )
+
+    @Test
+    fun `given a window that is flushed several times, then each flush is one call`() {
+        val role = role(isOpenWindowFlushed = true)
+        repeat(3) {
+            role.record("account", 0, 0)
+            role.flush()
+        }
+        expectThat(store.calls).containsExactly("commit", "commit", "commit")
+    }
+
+    @Test
+    fun `given a large fleet, then a window is flushed once, after its end`() {
+        val role = role(isOpenWindowFlushed = false)
+        role.record("account", 0, 0)
+        role.flush()
+        expectThat(store.calls).isEmpty()
+        now += 5.seconds
+        role.record("account", 0, 0)
+        role.flush()
+        expectThat(store.calls).containsExactly("commit")
+    }
+
+    @Test
+    fun `given a VM that stops, then the open window is flushed too`() {
+        val role = role(isOpenWindowFlushed = false)
+        role.record("account", 0, 0)
+        role.close()
+        expectThat(store.calls).containsExactly("commit")
+    }
+}
