Never repeat a request that may run once, whatever its route says of resuming

Cause: a route's isRepeatable was true for every kind whose configuration has the flag for resumable streams, so an at-most-once request was sent to a second server after the first one's error. The log of the VM shows attempt 1, its status 500 and attempt 2.

DispatcherTest asks for it: it failed on the code before (18 run, 1 failed) and passes now.

--- a/core/src/main/kotlin/org/ragwortlever/core/route/RoutingDocument.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/route/RoutingDocument.kt
@@ -49,7 +49,7 @@
     val isResumable: Boolean = false,
 ) {
     /** Whether a request that may have run can be sent again. */
-    val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || isResumable
+    val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && isResumable)
 }
 
 /**
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatcherTest.kt
@@ -69,6 +69,14 @@
         expectThat(world.end(request, AttemptEnd.Failed(ServerFailure.BROKEN))).isNull()
     }
 
+    @Test
+    fun `given a route that may run once but says that it is resumable, when a server fails, then it is not repeated`() {
+        world.engines(3)
+        val request = world.request(kind = RouteKind.AT_MOST_ONCE, isResumable = true)
+        world.submit(request)
+        expectThat(world.end(request, AttemptEnd.Failed(ServerFailure.ERROR))).isNull()
+    }
+
     @Test
     fun `given a resumable stream that broke before an event that could be named, then it is not joined from two runs`() {
         world.engines(3)
