Let a former holder take its own lease up again after an outage

The holder's view of its lease ended in the outage, the store's lease had paused, and the holder then waited until the store ended its own lease: role-lease of 29.2 s, first report 32.0 s, due 31.0 s.

Change: a claim that finds its own key renews that lease; the fencing number stays, and sends wait as after a new claim, because the key may also come from a late write. LeaseClaimTest has the outage; before, the second look found a foreign holder.

--- a/core/src/main/kotlin/org/ragwortlever/core/lease/LeaseClaim.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/lease/LeaseClaim.kt
@@ -7,6 +7,7 @@
 import org.ragwortlever.core.store.Condition
 import org.ragwortlever.core.store.StoreAnswer
 import org.ragwortlever.core.store.StoreCall
+import org.ragwortlever.core.store.StoreEntry
 import org.ragwortlever.core.store.Transaction
 import org.ragwortlever.core.store.Write
 import org.ragwortlever.core.store.committedAt
@@ -47,7 +48,7 @@
     ) : LeaseStage
 }
 
-/** A process's claim to the role with lease key [key]; [owner] is the key's value, for operators to read. */
+/** A process's claim to the role with lease key [key]; [owner] is the key's value and names this start of the process alone. */
 data class LeaseClaim(
     val key: String,
     val owner: String,
@@ -102,9 +103,20 @@
         when {
             answer !is StoreAnswer.Found -> LeaseStage.Looking(now + times.retry)
             answer.read.entries.isEmpty() -> LeaseStage.Granting
+            answer.read.entries.first().value == owner -> regained(answer.read.entries.first(), now)
             else -> LeaseStage.Looking(now + if (preferred) times.candidatePoll else times.fallbackPoll)
         }
 
+    /** The store still has this process's own key, after an outage or from a late write; a renewal decides whether it holds. */
+    private fun regained(
+        entry: StoreEntry,
+        now: Instant,
+    ): LeaseStage =
+        LeaseStage.Holding(
+            HeldLease(key, entry.lease, entry.createRevision, until = now, sendFrom = now + times.drift + times.sendTimeout),
+            renewAt = now,
+        )
+
     private fun granted(
         answer: StoreAnswer,
         asked: Instant,
--- a/core/src/test/kotlin/org/ragwortlever/core/lease/LeaseClaimTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/lease/LeaseClaimTest.kt
@@ -62,6 +62,21 @@
         expectThat(successor.held(now)!!.sendFrom).isEqualTo(now + times.drift + times.sendTimeout)
     }
 
+    // Guards against a role without a holder while a former holder waits for the end of its own lease.
+    @Test
+    fun `given a holder whose view of its lease ended in an outage that paused leases, when the store is back, then it holds on`() {
+        val before = claim("a").ask().ask().ask()
+        val fencing = checkNotNull(before.held(now)).fencing
+        now += times.duration
+        // The store's clock stood still: its lease lives on.
+        store = store.copy(leases = store.leases.mapValues { (_, lease) -> lease.first to lease.second + times.duration })
+        val looking = before.answered(StoreAnswer.Failed(StoreFailure.NoAnswer("down")), now, now)
+        expectThat(looking.held(now)).isNull()
+        val found = looking.ask()
+        expectThat(found.held(now)).isNull()
+        expectThat(found.ask().held(now)).isNotNull().get { this.fencing }.isEqualTo(fencing)
+    }
+
     // Guards against a holder that acts on through a long outage, and against one that never comes back.
     @Test
     fun `given a store down for 10 minutes, when it returns, then the lease has ended and is claimed again`() {
