Keep running spot servers of a zone that gets no more of them

Cause: found while reading the diff: a zone whose request for more spot servers was refused got the count that the other zones leave over, and so ordered running spot servers away although they cost least. Change: they stay; only what is missing is ordered. ScalingPolicyTest has the case; by the old code it would have got one spot server of three (by reading, not run). The partition and the spare count have plainer names and a reason.

--- a/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -69,13 +69,14 @@
         val total = longPeak.note(need, now, atFirst = running.values.sumOf { it.total })
         val leastNeed = neededAtLeast(load)
         val recent = shortPeak.note(leastNeed, now, atFirst = leastNeed)
+        // Half of the held peak stays, as a burst may come back while the kinds change.
         val spare = (running.values.sumOf { it.ordinary + it.warmSpot } - maxOf(need, total / 2)) / zones.size
-        val (dear, usual) = zones.sortedBy { range.zonePrices[it] ?: 1.0 }.partition { lacksSpot(range, it, now) }
+        val (withoutSpot, usual) = zones.sortedBy { range.zonePrices[it] ?: 1.0 }.partition { lacksSpot(range, it, now) }
         val counts = usual.share(total, floor(range), range)
-        val ordinary = dear.share(recent - counts.values.sum(), range.minimum, range)
+        val rest = withoutSpot.share(recent - counts.values.sum(), range.minimum, range)
         ordered =
             counts.mapValues { (zone, count) -> kinds(range, count, running[zone] ?: RunningServers(0, 0), spare) } +
-            ordinary.mapValues { (zone, count) -> withoutNewSpot(count, running[zone] ?: RunningServers(0, 0)) }
+            rest.mapValues { (zone, count) -> withoutNewSpot(count, running[zone] ?: RunningServers(0, 0)) }
         return ordered
     }
 
@@ -123,14 +124,11 @@
         return ZoneServers(ordinary, minOf(count, room))
     }
 
-    /** Ordinary servers cost several times as much, so a zone without spot servers gets only what the others can't bear. */
+    /** Ordinary servers cost several times as much, so a zone that gets no spot servers has only what the others can't bear. */
     private fun withoutNewSpot(
         count: Int,
         running: RunningServers,
-    ): ZoneServers {
-        val spot = minOf(running.spot, count)
-        return ZoneServers(count - spot, spot)
-    }
+    ) = ZoneServers((count - running.spot).coerceAtLeast(0), running.spot)
 
     /** Servers with which prompts rarely wait for each other. */
     private fun needed(load: ServiceLoad): Int =
--- a/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
@@ -119,6 +119,12 @@
         expectThat(desired(ServiceLoad(readSeconds = 9.0, running = 100), RunningServers(0, 3))["a"]).isEqualTo(ZoneServers(1, 3))
     }
 
+    @Test
+    fun `given spot servers that run in a zone that gets no more, when the others could bear the load, then they stay`() {
+        policy.spotUnavailable("b", start)
+        expectThat(desired(idle, RunningServers(0, 3))["b"]).isEqualTo(ZoneServers(0, 3))
+    }
+
     @Test
     fun `given a new duty holder, when it gives its first orders, then it keeps what runs`() {
         expectThat(desired(idle, RunningServers(0, 4)).values.sumOf { it.total }).isEqualTo(12)
