Finish requests that come while a stopping VM writes its last log lines

Change: the VM looks for open requests once more after the lines are written and finishes them within the grace period.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -146,8 +146,11 @@
         duties?.start()
     }
 
-    /** Stops gracefully: callers are sent elsewhere, and what runs here is finished while the grace period lasts. */
-    fun drain() {
+    /**
+     * Stops gracefully: callers are sent elsewhere, and what runs here is finished while the grace period lasts. After
+     * [flushLogs], which may take a while, requests that came in the meantime are finished too.
+     */
+    fun drain(flushLogs: () -> Unit = {}) {
         leaving = true
         val began = clock.now()
         val end = began + settings.bounds.gracePeriodSeconds.seconds - STOP_MARGIN
@@ -165,6 +168,8 @@
                 "ms" to (clock.now() - began).inWholeMilliseconds,
             )
         }
+        flushLogs()
+        while (clock.now() < end && open.count > 0) Thread.sleep(DRAIN_POLL.inWholeMilliseconds)
     }
 
     override fun close() {
