--- a/bench/src/main/kotlin/org/ragwortlever/bench/capacity/MeasuredFleet.kt
+++ b/bench/src/main/kotlin/org/ragwortlever/bench/capacity/MeasuredFleet.kt
@@ -1,6 +1,7 @@
 // Nodes as objects in one process: failure detection and distribution of the configuration with really encoded messages.
 package org.ragwortlever.bench.capacity
 
+import org.ragwortlever.bench.simulation.EventQueue
 import org.ragwortlever.core.distribution.ConfigurationDistributor
 import org.ragwortlever.core.distribution.DistributionEffect
 import org.ragwortlever.core.distribution.DistributionEvent
@@ -28,7 +29,7 @@
         }
     private val nodes = listed.associate { it.id to Node(it) }
 
-    val queue = VirtualQueue()
+    val queue = EventQueue()
     val store = MeasuredStore()
 
     /** Messages sent so far, and their bytes without IP and transport headers. */
--- a/bench/src/main/kotlin/org/ragwortlever/bench/simulation/EventQueue.kt
+++ b/bench/src/main/kotlin/org/ragwortlever/bench/simulation/EventQueue.kt
@@ -30,6 +30,13 @@
         action: () -> Unit,
     ) = at(seconds + delaySeconds, action)
 
+    fun after(
+        delay: Duration,
+        action: () -> Unit,
+    ) {
+        pending += Scheduled(elapsed + delay.inWholeNanoseconds, order++, action)
+    }
+
     /** Runs everything that is due before [limit]. */
     fun runUntil(limit: Duration) {
         while (true) {
@@ -41,6 +48,13 @@
         }
     }
 
+    /** Runs everything that is due within [duration] and lets all of it pass. */
+    fun runFor(duration: Duration) {
+        val end = elapsed.nanoseconds + duration
+        runUntil(end)
+        elapsed = end.inWholeNanoseconds
+    }
+
     private class Scheduled(
         val nanoseconds: Long,
         val order: Long,
--- a/core/src/main/kotlin/org/ragwortlever/core/backend/ColdBudget.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ColdBudget.kt
@@ -4,7 +4,7 @@
  */
 package org.ragwortlever.core.backend
 
-import org.ragwortlever.core.membership.rendezvousWeight
+import org.ragwortlever.core.membership.rendezvousOrder
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -57,6 +57,6 @@
         nodes: Set<String>,
     ): Boolean {
         if (nodes.size <= senders) return true
-        return node in nodes.sortedByDescending { rendezvousWeight(id, it) }.take(senders)
+        return node in rendezvousOrder(id, nodes).take(senders)
     }
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
@@ -17,9 +17,8 @@
 /** Announcements by server id; not thread-safe. */
 class ServerCatalog {
     private val servers = HashMap<String, KnownServer>()
-    private val missingSince = HashMap<String, Instant>()
-    private var storeLostAt: Instant? = null
-    private var storeBackAt: Instant = Instant.DISTANT_PAST
+    private val missing = HashSet<String>()
+    private val outage = StoreOutage()
 
     /** Servers that may get new requests: announced and not draining. */
     val usable: List<KnownServer> get() = servers.values.filterNot { it.server.isDraining }
@@ -34,7 +33,7 @@
         server: BackendServer,
         now: Instant,
     ) {
-        missingSince.remove(server.id)
+        missing -= server.id
         servers[server.id] = KnownServer(server, now + server.coldFor)
     }
 
@@ -44,11 +43,11 @@
         now: Instant,
     ) {
         val known = servers[id] ?: return
-        if (known.server.isDraining || !isStoreRecovering(now)) {
+        if (known.server.isDraining || !outage.isRecent(RETURN_TIME, now)) {
             servers.remove(id)
-            missingSince.remove(id)
+            missing -= id
         } else {
-            missingSince.getOrPut(id) { now }
+            missing += id
         }
     }
 
@@ -63,28 +62,19 @@
     }
 
     /** The store does not answer; announcements may lapse from here on. */
-    fun storeLost(now: Instant) {
-        if (storeLostAt == null) storeLostAt = now
-    }
+    fun storeLost() = outage.began()
 
     /** The store answers. */
-    fun storeAnswers(now: Instant) {
-        if (storeLostAt == null) return
-        storeLostAt = null
-        storeBackAt = now
-    }
+    fun storeAnswers(now: Instant) = outage.ended(now)
 
     /** Forgets servers whose announcements did not come back; returns whether any was forgotten. */
     fun expire(now: Instant): Boolean {
-        if (storeLostAt != null || now < storeBackAt + RETURN_TIME) return false
-        val gone = missingSince.keys.toList()
-        gone.forEach { servers.remove(it) }
-        missingSince.clear()
-        return gone.isNotEmpty()
+        if (missing.isEmpty() || outage.isRecent(RETURN_TIME, now)) return false
+        servers.keys.removeAll(missing)
+        missing.clear()
+        return true
     }
 
-    private fun isStoreRecovering(now: Instant): Boolean = storeLostAt != null || now < storeBackAt + RETURN_TIME
-
     private companion object {
         // The platform promises that live servers announce themselves again within about two seconds of the store's return.
         val RETURN_TIME: Duration = 2.5.seconds
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/EntryVmChoice.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/EntryVmChoice.kt
@@ -4,6 +4,7 @@
  */
 package org.ragwortlever.core.fleet
 
+import org.ragwortlever.core.membership.inRendezvousOrder
 import org.ragwortlever.core.membership.rendezvousWeight
 
 /** The VMs of [nodes] for [caller], at most [limit] of them; never empty when there is any. */
@@ -13,7 +14,7 @@
     limit: Int,
 ): List<NodeRecord> {
     val largest = nodes.maxOfOrNull { it.capacity } ?: return emptyList()
-    val ordered = nodes.sortedByDescending { rendezvousWeight(caller, it.name) }
+    val ordered = nodes.inRendezvousOrder(caller) { it.name }
     val named = ordered.filter { drawn(caller, it.name) * largest <= it.capacity }
     // Few VMs leave a caller no choice when one fails.
     return (if (named.size >= minOf(LEAST_NAMED, nodes.size)) named else ordered).take(limit)
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -5,6 +5,7 @@
 package org.ragwortlever.core.fleet
 
 import org.ragwortlever.core.backend.ServerCatalog
+import org.ragwortlever.core.backend.StoreOutage
 import org.ragwortlever.core.route.RoutingDocument
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -27,8 +28,7 @@
     /** Entry VMs that take requests, by name. */
     val nodes: Map<String, NodeRecord> get() = registered
 
-    private var storeLost = false
-    private var storeBackAt = Instant.DISTANT_PAST
+    private val outage = StoreOutage()
 
     /** Applies one record; null when nothing changed that others must know. */
     fun apply(
@@ -65,30 +65,25 @@
         records.filterIsInstance<FleetRecord.Configured>().forEach { configure(it.document) }
     }
 
-    fun storeLost(now: Instant) {
-        storeLost = true
-        servers.storeLost(now)
+    fun storeLost() {
+        outage.began()
+        servers.storeLost()
     }
 
     fun storeAnswers(now: Instant) {
+        outage.ended(now)
         servers.storeAnswers(now)
-        if (!storeLost) return
-        storeLost = false
-        storeBackAt = now
     }
 
     /** Forgets what did not come back in time after an outage. */
     fun expire(now: Instant): Set<FleetChange> {
         val changes = HashSet<FleetChange>()
         if (servers.expire(now)) changes += FleetChange.SERVERS
-        val gone = lapsed.filterValues { now >= maxOf(it, storeBackAt) + NODE_RETURN_TIME }.keys.toList()
-        if (!storeLost && gone.isNotEmpty()) {
-            gone.forEach {
-                registered.remove(it)
-                lapsed.remove(it)
-            }
-            changes += FleetChange.NODES
-        }
+        if (outage.isRecent(NODE_RETURN_TIME, now)) return changes
+        val gone = lapsed.filterValues { now >= it + NODE_RETURN_TIME }.keys.toSet()
+        if (gone.isNotEmpty()) changes += FleetChange.NODES
+        registered.keys.removeAll(gone)
+        lapsed.keys.removeAll(gone)
         return changes
     }
 
@@ -107,7 +102,7 @@
         name: String,
         now: Instant,
     ) {
-        if (storeLost || now < storeBackAt + NODE_RETURN_TIME) lapsed[name] = now else registered.remove(name)
+        if (outage.isRecent(NODE_RETURN_TIME, now)) lapsed[name] = now else registered.remove(name)
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/ragwortlever/core/membership/Rendezvous.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/membership/Rendezvous.kt
@@ -6,7 +6,22 @@
 fun rendezvousOrder(
     key: String,
     ids: Collection<String>,
-): List<String> = ids.sortedWith(compareByDescending<String> { rendezvousWeight(key, it) }.thenBy { it })
+): List<String> = ids.inRendezvousOrder(key) { it }
+
+/** These items in the order in which [key] prefers them by the names that [id] gives; each weight is computed once. */
+internal fun <T> Collection<T>.inRendezvousOrder(
+    key: String,
+    id: (T) -> String,
+): List<T> =
+    map { Weighted(it, id(it), rendezvousWeight(key, id(it))) }
+        .sortedWith(compareByDescending<Weighted<T>> { it.weight }.thenBy { it.id })
+        .map { it.item }
+
+private class Weighted<T>(
+    val item: T,
+    val id: String,
+    val weight: Long,
+)
 
 /** The member of [ids] that [key] prefers, or null when there is none. */
 fun rendezvousOwner(
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageFlush.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageFlush.kt
@@ -91,12 +91,14 @@
     private fun afterWrite(
         answer: StoreAnswer,
         refused: FlushStage,
-    ): UsageFlush =
-        when {
-            answer.committedAt() != null -> copy(stage = FlushStage.DONE, found = checkNotNull(answer.committedAt()))
+    ): UsageFlush {
+        val committed = answer.committedAt()
+        return when {
+            committed != null -> copy(stage = FlushStage.DONE, found = committed)
             answer is StoreAnswer.Failed || repeated == MAXIMUM_REPEATS -> copy(stage = FlushStage.FAILED)
             else -> copy(stage = refused, repeated = repeated + 1)
         }
+    }
 
     private fun write(
         key: String,
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/PromptAffinityTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/PromptAffinityTest.kt
@@ -38,6 +38,19 @@
         expectThat(chosen.groupingBy { it }.eachCount().values.max()).isLessThanOrEqualTo(30)
     }
 
+    @Test
+    fun `given servers that come after the first prompts, then those for long prompts are chosen among all of them`() {
+        val world = DispatchWorld().apply { engines(2) }
+        world.submit(world.request(parts = parts("dossier")))
+        world.engines(6)
+        val chosen =
+            (0 until 60).map { number ->
+                val request = world.request(parts = parts("dossier-$number"))
+                world.submit(request).also { world.end(request, AttemptEnd.Answered) }
+            }
+        expectThat(chosen.toSet()).hasSize(4)
+    }
+
     @Test
     fun `given a burst about one part, when its server has unread prompts, then others help`() {
         val world = DispatchWorld().apply { engines(6) }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -197,7 +197,7 @@
             lostSince = now()
             logger.warn { eventLine("store-lost", "failure" to failure) }
         }
-        view.storeLost(now())
+        view.storeLost()
         return false
     }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -180,8 +180,8 @@
     }
 
     private fun fleetState(): FleetState {
-        val others = nodes.values.filter { it.name != settings.nodeId }.map { it.load }
-        return FleetState(routes.table?.document, announced, (others + relay.loadWith(load)).total())
+        val loads = otherVms().map { it.load } + relay.loadWith(load)
+        return FleetState(routes.table?.document, announced, loads.total())
     }
 
     /** A VM that asks a relay gives its load there. */
@@ -192,10 +192,9 @@
         crashes.report(CrashRecord(crash.server, crash.zone, crash.digests))
     }
 
-    private fun registeredVms(): List<NodeRecord> {
-        val others = nodes.values.filter { it.name != settings.nodeId }
-        return if (status.isReady) others + record else others
-    }
+    private fun otherVms(): List<NodeRecord> = nodes.values.filter { it.name != settings.nodeId }
+
+    private fun registeredVms(): List<NodeRecord> = if (status.isReady) otherVms() + record else otherVms()
 
     private fun listeners(): List<HttpListener> {
         val (host, port) = settings.callers.split(':')
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/SettingsWatch.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/SettingsWatch.kt
@@ -33,8 +33,9 @@
     fun start() {
         thread(name = "settings", isDaemon = true) {
             while (!closed) {
-                check()
+                // The settings were read a moment ago; reading them again would only delay the start.
                 runCatching { Thread.sleep(period.inWholeMilliseconds) }
+                check()
             }
         }
     }
@@ -52,24 +53,16 @@
         text = read
         parseFleetSettings(read).fold(
             success = { changed ->
-                if (changed !=
-                    current
-                ) {
-                    logger.info {
-                        eventLine(
-                            "settings-changed",
-                            "file" to file,
-                            "store" to changed.store,
-                            "duties" to changed.duties,
-                        )
-                    }
-                }
+                if (changed != current) logChange(changed)
                 current = changed
             },
             failure = { faults -> logger.warn { eventLine("settings-refused", "file" to file, "faults" to faults.joinToString("; ")) } },
         )
     }
 
+    private fun logChange(changed: FleetSettings) =
+        logger.info { eventLine("settings-changed", "file" to file, "store" to changed.store, "duties" to changed.duties) }
+
     override fun close() {
         closed = true
     }
