Seal windows with many late parts in transactions that the store takes

Cause: a seal corrected up to 100 late parts in one transaction; the users' store takes 32 entries and refuses a larger one whole, so a third of a fleet that flushed late stopped all reports for ever. Ruled out: the lease's passing on; the windows stopped at the seal and not for want of a holder.

--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
@@ -11,6 +11,7 @@
 import org.ragwortlever.core.lease.HeldLease
 import org.ragwortlever.core.lease.LeaseTimes
 import org.ragwortlever.core.store.Condition
+import org.ragwortlever.core.store.MOST_TRANSACTION_ENTRIES
 import org.ragwortlever.core.store.StoreAnswer
 import org.ragwortlever.core.store.StoreCall
 import org.ragwortlever.core.store.StoreEntry
@@ -328,5 +329,9 @@
     return StoreCall.Commit(Transaction(conditions, listOf(Write.Put(UsageKeys.CURSOR, cursor.encode()))))
 }
 
-// The store limits the operations of one transaction to 128; the rest is corrected in the next window.
-private const val MAXIMUM_LATE_PARTS = 100
+// Conditions and writes of a seal beside those of its late parts: the lease, the seal and the cursor.
+private const val ENTRIES_OF_A_SEAL = 5
+private const val ENTRIES_OF_A_LATE_PART = 2
+
+// What does not fit into one transaction is corrected in the next window.
+private const val MAXIMUM_LATE_PARTS = (MOST_TRANSACTION_ENTRIES - ENTRIES_OF_A_SEAL) / ENTRIES_OF_A_LATE_PART
