Let VMs that the store turns away call no more often than the others

Cause: a follower and a registration that failed called again every 0.3 s in place of 0.9 and 1 to 1.8 s, so a third of the VMs, turned away for nine seconds, made two thirds of all calls in that time, and refused calls are priced too. Change: pauses double up to the ordinary interval. Ruled out: a fixed longer pause, since a single lost answer should not cost a second.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -14,6 +14,7 @@
 import org.ragwortlever.core.fleet.FleetRecord
 import org.ragwortlever.core.fleet.FleetView
 import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.retry.RetryPause
 import org.ragwortlever.core.store.StoreChange
 import org.ragwortlever.core.store.StoreChanges
 import org.ragwortlever.core.store.StoreEntry
@@ -63,6 +64,7 @@
     private val view = FleetView()
     private var revision: Long? = null
     private var lostSince: Instant? = null
+    private val retry = RetryPause(FIRST_RETRY, LONGEST_RETRY)
 
     @Volatile
     private var closed = false
@@ -85,7 +87,7 @@
                 return
             } catch (failure: RuntimeException) {
                 logger.error { eventLine("fleet-step-failed", "error" to failure) }
-                RETRY
+                retry.failed()
             }
         runCatching { Thread.sleep(pause.inWholeMilliseconds) }
     }
@@ -95,7 +97,9 @@
         val answered = if (from == null) readAll() else readChanges(from)
         val expired = view.expire(now())
         if (expired.isNotEmpty()) listener.changed(view, expired)
-        return if (answered) feed.pause else RETRY
+        if (!answered) return retry.failed()
+        retry.succeeded()
+        return feed.pause
     }
 
     private fun readAll(): Boolean =
@@ -203,7 +207,10 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-        val RETRY = 300.milliseconds
+        val FIRST_RETRY = 300.milliseconds
+
+        // The step of an ordinary follower: a VM that the store turns away must not call more often than the others.
+        val LONGEST_RETRY = 900.milliseconds
 
         // A step without changes ends with this; shorter than the call's own timeout.
         val WAIT = 1.seconds
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/NodeRegistration.kt
@@ -11,6 +11,7 @@
 import org.ragwortlever.core.fleet.NodeRecord
 import org.ragwortlever.core.fleet.ServiceLoad
 import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.retry.RetryPause
 import org.ragwortlever.core.store.Transaction
 import org.ragwortlever.core.store.TransactionResult
 import org.ragwortlever.core.store.Write
@@ -31,6 +32,7 @@
     private var lease: Long? = null
     private var written = record
     private var renewals = 0
+    private val retry = RetryPause(FIRST_RETRY, LONGEST_RETRY)
 
     @Volatile
     private var closed = false
@@ -45,7 +47,8 @@
                     val kept = runCatching(::keep).onFailure {
                         logger.error { eventLine("registration-failed", "error" to it) }
                     }.getOrDefault(false)
-                    runCatching { Thread.sleep((if (kept) renewal() else RETRY).inWholeMilliseconds) }
+                    if (kept) retry.succeeded()
+                    runCatching { Thread.sleep((if (kept) renewal() else retry.failed()).inWholeMilliseconds) }
                 }
             }
     }
@@ -105,7 +108,10 @@
 
         // Orders for servers take seconds to have an effect; a fresher load would cost more writes for nothing.
         const val RENEWALS_PER_WRITE = 2
-        val RETRY = 300.milliseconds
+        val FIRST_RETRY = 300.milliseconds
+
+        // The longest pause between ordinary renewals; the lease has ended by then, and a new one takes two calls.
+        val LONGEST_RETRY = 1.8.seconds
         val CLOSE_WAIT = 200.milliseconds
     }
 }
