Refuse what a stopping VM can't finish, and bound what a server may send

(2) By reading: an answer was held whole without a bound, an event that never ends grew until the heap did, and was copied and searched whole at each read. Change: a VM that stops compares the time left with the longest answers of the route lately (its timeout if there were none) and says at once that the request did not run, with Connection: close. Ruled out: refusing everything at SIGTERM, as a repeat may meet another stopping VM.

--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortlever/core/route/AnswerTimesTest.kt
@@ -0,0 +1,35 @@
+package org.ragwortlever.core.route
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class AnswerTimesTest {
+    private val now = Instant.fromEpochSeconds(1000)
+    private val times = AnswerTimes()
+    private val route = Route("route", "host", "/", emptyList(), RouteKind.STREAM, 8.seconds, 1.seconds)
+
+    @Test
+    fun `given a route without an answer yet, then a request may take as long as the route allows`() {
+        expectThat(times.mayTake(route)).isEqualTo(8.seconds)
+    }
+
+    @Test
+    fun `given short answers and a long one, then a request may take somewhat longer than the long one`() {
+        listOf(1.seconds, 3.seconds, 2.seconds).forEach { times.took("route", it, now) }
+        expectThat(times.mayTake(route)).isGreaterThan(3.seconds).isLessThan(8.seconds)
+    }
+
+    @Test
+    fun `given a long answer that was long ago, then it no longer counts`() {
+        times.took("route", 7.seconds, now)
+        times.took("route", 1.seconds, now + 1.minutes)
+        times.took("route", 1.seconds, now + 2.minutes)
+        expectThat(times.mayTake(route)).isLessThan(3.seconds)
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -49,6 +49,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** What an entry VM says of itself to those who ask. */
 interface NodeStatus {
@@ -105,8 +106,9 @@
     @Volatile
     private var nodes: Map<String, NodeRecord> = emptyMap()
 
+    /** When this VM ends what still runs here; null until it is told to stop. */
     @Volatile
-    private var leaving = false
+    private var stopsAt: Instant? = null
 
     @Volatile
     private var load: Map<String, ServiceLoad> = emptyMap()
@@ -120,7 +122,7 @@
 
     private val status =
         object : NodeStatus {
-            override val isReady: Boolean get() = routes.table != null && !leaving
+            override val isReady: Boolean get() = routes.table != null && stopsAt == null
 
             override fun entryVms(
                 caller: String,
@@ -128,7 +130,7 @@
             ): List<NodeRecord> = entryVmsFor(caller, registeredVms(), limit)
         }
     private val calls =
-        RoutedCalls(gateway, servers, ports.headers, routes::await, { leaving }, Observer(), clock::now)
+        RoutedCalls(gateway, servers, ports.headers, routes::await, { stopsAt }, Observer(), clock::now)
     private val server = UndertowListeners(listeners(), settings.http.limits())
 
     fun start() {
@@ -151,9 +153,9 @@
      * [flushLogs], which may take a while, requests that came in the meantime are finished too.
      */
     fun drain(flushLogs: () -> Unit = {}) {
-        leaving = true
         val began = clock.now()
         val end = began + settings.bounds.gracePeriodSeconds.seconds - STOP_MARGIN
+        stopsAt = end
         logger.info { eventLine("draining", "node" to settings.nodeId, "open" to open.count) }
         registration.close()
         duties?.close()
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/EventRelay.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/EventRelay.kt
@@ -6,6 +6,8 @@
 
 import okio.Buffer
 import okio.BufferedSource
+import okio.ByteString
+import okio.ByteString.Companion.encodeUtf8
 import org.ragwortlever.core.route.Route
 import org.ragwortlever.http.ChunkStream
 import java.io.IOException
@@ -34,6 +36,9 @@
 ) : ChunkStream() {
     private var events = first
     private val pending = Buffer()
+
+    /** Bytes at the start of [pending] in which no event ends. */
+    private var searched = 0L
     private var lastEventId: String? = null
     private var prefetched: ByteArray? = null
     private var hasSentHead = false
@@ -70,12 +75,12 @@
             try {
                 val count = events.read(pending, READ_BYTES)
                 if (count < 0) return end()
+                takeWholeEvents()?.let { return it }
             } catch (failure: IOException) {
                 pending.clear()
+                searched = 0
                 events = source.resume(failure, lastEventId, hasSentHead) ?: throw failure.also { ended = true }
-                continue
             }
-            takeWholeEvents()?.let { return it }
         }
     }
 
@@ -86,19 +91,30 @@
         return if (pending.size == 0L) null else pending.readByteArray()
     }
 
+    /** Takes the events that are whole; bytes that were searched before are not searched again. */
     private fun takeWholeEvents(): ByteArray? {
-        val content = pending.snapshot()
-        val end = maxOf(content.lastIndexOf(EVENT_END) + EVENT_END.size, content.lastIndexOf(EVENT_END_CRLF) + EVENT_END_CRLF.size)
-        if (end < EVENT_END_CRLF.size && content.lastIndexOf(EVENT_END) < 0) return null
-        val whole = pending.readByteArray(end.toLong())
+        val end = maxOf(endOfLast(EVENT_END), endOfLast(EVENT_END_CRLF))
+        searched = maxOf(0, pending.size - end - EVENT_END_CRLF.size)
+        if (end == 0L) {
+            if (pending.size > LONGEST_EVENT_BYTES) throw AnswerTooLongException("an event is longer than $LONGEST_EVENT_BYTES bytes")
+            return null
+        }
+        val whole = pending.readByteArray(end)
         if (route.isResumable) lastIdIn(whole)?.let { lastEventId = it }
         return whole
     }
 
+    /** Where the last [mark] in the bytes that were not searched yet ends; 0 when there is none. */
+    private fun endOfLast(mark: ByteString): Long =
+        generateSequence(pending.indexOf(mark, searched)) { pending.indexOf(mark, it + mark.size) }
+            .takeWhile { it >= 0 }
+            .lastOrNull()
+            ?.plus(mark.size) ?: 0
+
     private companion object {
         const val READ_BYTES = 8192L
-        val EVENT_END = "\n\n".toByteArray()
-        val EVENT_END_CRLF = "\r\n\r\n".toByteArray()
+        val EVENT_END = "\n\n".encodeUtf8()
+        val EVENT_END_CRLF = "\r\n\r\n".encodeUtf8()
     }
 }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
@@ -19,10 +19,12 @@
 import org.ragwortlever.core.dispatch.AttemptEnd
 import org.ragwortlever.core.dispatch.DispatchEffect
 import org.ragwortlever.core.dispatch.DispatchEvent
+import org.ragwortlever.core.dispatch.RoutedRequest
 import org.ragwortlever.core.error.ErrorKind
 import org.ragwortlever.core.error.Executed
 import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.route.AnswerTimes
 import org.ragwortlever.core.route.RouteKind
 import org.ragwortlever.core.route.RouteTable
 import org.ragwortlever.daemon.caller.readBody
@@ -48,17 +50,19 @@
     )
 }
 
+/** @param stopsAt when this VM ends what still runs here, once it has been told to stop. */
 internal class RoutedCalls(
     private val gateway: DispatchGateway,
     private val servers: ServerClient,
     private val names: RoutedHeaders,
     private val table: () -> RouteTable?,
-    private val isLeaving: () -> Boolean,
+    private val stopsAt: () -> Instant?,
     private val observer: RequestObserver,
     private val now: () -> Instant,
 ) {
     private val nextKey = AtomicLong()
     private val parser = RoutedRequestParser(names)
+    private val answerTimes = AnswerTimes()
 
     fun handle(request: Request): Response {
         val arrival = now()
@@ -77,9 +81,17 @@
         binding {
             val current = table() ?: Err(NO_CONFIGURATION).bind()
             val body = request.readBody(current.document.limits.bodyBytes).bind()
-            parser.prepare(request, body, current, nextKey.incrementAndGet(), arrival).bind()
+            val prepared = parser.prepare(request, body, current, nextKey.incrementAndGet(), arrival).bind()
+            if (cannotFinish(prepared.request)) Err(STOPPING).bind()
+            prepared
         }
 
+    /** Whether the end of the process could cut the answer; the caller is better served by another VM. */
+    private fun cannotFinish(request: RoutedRequest): Boolean {
+        val end = stopsAt() ?: return false
+        return minOf(request.deadline, now() + answerTimes.mayTake(request.route)) > end
+    }
+
     private fun refusal(
         id: String,
         refusal: Refusal,
@@ -103,7 +115,7 @@
         return response.leaving()
     }
 
-    private fun Response.leaving(): Response = if (isLeaving()) header("Connection", "close") else this
+    private fun Response.leaving(): Response = if (stopsAt() == null) this else header("Connection", "close")
 
     /** One request from the first decision to the end of its answer. */
     private inner class RoutedExchange(
@@ -153,8 +165,9 @@
             if (request.route.kind == RouteKind.STREAM && response.isSuccessful) return stream(base, answering, first)
             val content =
                 try {
-                    response.body.bytes()
+                    response.body.bytesUpTo(LONGEST_ANSWER_BYTES)
                 } catch (failure: IOException) {
+                    call?.cancel()
                     ended(AttemptEnd.Failed(failure.kind()), "the answer broke off: $failure")
                     return null
                 }
@@ -216,6 +229,7 @@
                     "ms" to took.inWholeMilliseconds,
                 )
             }
+            answerTimes.took(request.route.name, took, now())
             observer.answered(request.route.name, status, first, took)
             return response
         }
@@ -314,6 +328,7 @@
 
         // To callers these statuses promise that the request has not run; a server's own may mean something else.
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
+        val STOPPING = Refusal(ErrorKind.STOPPING, "this entry VM stops before the answer could end", Executed.NO, 0)
         val NO_CONFIGURATION = Refusal(ErrorKind.CONFIGURATION_STALE, "no configuration has been read yet", Executed.NO, 1)
         val MAY_HAVE_RUN =
             Refusal(ErrorKind.OUTCOME_UNKNOWN, "the backend server refused it without saying that it did not run", Executed.UNKNOWN)
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedCallsTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedCallsTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.api.expectThrows
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
@@ -15,6 +16,9 @@
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 class RoutedCallsTest {
     private val world = RoutedWorld()
@@ -194,7 +198,7 @@
     @Test
     fun `given a VM that is leaving, when it answers, then the caller is told to connect elsewhere`() {
         world.servers({ request, socket -> socket.answer(request, "done") })
-        world.isLeaving = true
+        world.stopsAt = Clock.System.now() + 1.minutes
         val socket = Socket("127.0.0.1", world.port)
         socket.write("GET /safe/7 HTTP/1.1\r\nHost: host\r\nX-Request-Id: id-2\r\nAuthorization: Bearer key\r\n\r\n")
         val answer = socket.getInputStream().readAllBytes().decodeToString()
@@ -245,4 +249,92 @@
         // On loopback a close or an answer arrives within microseconds.
         const val CLOSE_TRAVELS_MILLISECONDS = 100L
     }
+
+    /** Pattern: a planned stop under load, with callers that keep using their connections. */
+    @Test
+    fun `given a VM that stops before an answer could end, when a request comes, then it is told at once that it did not run`() {
+        val server = world.servers({ request, socket -> socket.answer(request, "done") }).single()
+        world.stopsAt = Clock.System.now() + 2.seconds
+        world.post("/stream/7").use { response ->
+            expectThat(response.code).isEqualTo(503)
+            expectThat(response.header("Retry-After")).isEqualTo("0")
+            expectThat(response.body.string()).contains("\"executed\":\"no\"")
+        }
+        expectThat(server.received).hasSize(0)
+    }
+
+    @Test
+    fun `given a VM that stops, when answers of a route were short lately, then a request that can still end is served`() {
+        world.servers({ request, socket -> socket.answer(request, "done") })
+        expectThat(world.post("/safe/7").use { it.code }).isEqualTo(200)
+        world.stopsAt = Clock.System.now() + 2.seconds
+        expectThat(world.post("/safe/7").use { it.code }).isEqualTo(200)
+    }
+
+    /** Pattern: a server in trouble sends bytes that are no answer until its caller closes the connection. */
+    @Test
+    fun `given a body without end, then the server's connection is closed and the caller is not told that it did not run`() {
+        val closed = CountDownLatch(1)
+        world.servers({ request, socket ->
+            socket.beginStream(request)
+            socket.sendUntilClosed(closed)
+        })
+        expectThat(world.post("/once/7").use { it.code }).isEqualTo(502)
+        expectThat(closed.await(10, TimeUnit.SECONDS)).isTrue()
+    }
+
+    @Test
+    fun `given an event without end, then the stream breaks off and the server's connection is closed`() {
+        val closed = CountDownLatch(1)
+        world.servers({ request, socket ->
+            socket.beginStream(request)
+            socket.chunk("id: 1\ndata: a\n\n")
+            socket.sendUntilClosed(closed)
+        })
+        world.post("/stream/7").use { response -> expectThrows<IOException> { response.body.string() } }
+        expectThat(closed.await(10, TimeUnit.SECONDS)).isTrue()
+    }
+
+    @Test
+    fun `given a head without end, then the server's connection is closed and the caller gets an error`() {
+        val closed = CountDownLatch(1)
+        world.servers({ _, socket ->
+            socket.write("HTTP/1.1 200 OK\r\n")
+            socket.sendUntilClosed(closed, "X-Filler: " + "a".repeat(8000) + "\r\n")
+        })
+        expectThat(world.post("/once/7").use { it.code }).isEqualTo(502)
+        expectThat(closed.await(10, TimeUnit.SECONDS)).isTrue()
+    }
+
+    @Test
+    fun `given a status line without end, then the server's connection is closed and the caller gets an error`() {
+        val closed = CountDownLatch(1)
+        world.servers({ _, socket -> socket.sendUntilClosed(closed, "a".repeat(8000)) })
+        expectThat(world.post("/once/7").use { it.code }).isEqualTo(502)
+        expectThat(closed.await(10, TimeUnit.SECONDS)).isTrue()
+    }
+
+    @Test
+    fun `given a large event that ends, when it comes in small pieces, then the caller gets all of it`() {
+        val event = "id: 1\ndata: " + "a".repeat(100_000) + "\r\n\r\n"
+        world.servers({ request, socket ->
+            socket.beginStream(request)
+            event.chunked(1000).forEach { socket.chunk(it) }
+            socket.chunk("id: 2\ndata: b\n\n")
+            socket.write("0\r\n\r\n")
+        })
+        expectThat(world.post("/stream/7").use { it.body.string() }).isEqualTo(event + "id: 2\ndata: b\n\n")
+    }
+}
+
+/** Sends [text] in chunks until the other side closes the connection. */
+private fun Socket.sendUntilClosed(
+    closed: CountDownLatch,
+    text: String = "2000\r\n" + "a".repeat(0x2000) + "\r\n",
+) {
+    try {
+        while (true) write(text)
+    } finally {
+        closed.countDown()
+    }
 }
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedWorld.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedWorld.kt
@@ -37,8 +37,9 @@
     private val targets = listOf(WeightedService("service", 1))
     val began = CopyOnWriteArrayList<String?>()
 
+    /** When the VM ends what still runs; null while it is not told to stop. */
     @Volatile
-    var isLeaving = false
+    var stopsAt: Instant? = null
 
     private val routes =
         listOf(
@@ -69,7 +70,7 @@
                 took: Duration,
             ) = Unit
         }
-    private val calls = RoutedCalls(gateway, serverClient, names, { RouteTable(document) }, { isLeaving }, observer, Clock.System::now)
+    private val calls = RoutedCalls(gateway, serverClient, names, { RouteTable(document) }, { stopsAt }, observer, Clock.System::now)
     private val listeners =
         UndertowListeners(listOf(HttpListener("127.0.0.1", 0, calls::handle)), HttpLimits(workerThreads = 8)).apply { start() }
     private val client = OkHttpClient.Builder().retryOnConnectionFailure(false).build()
