Have another VM write the usage of a VM that the store turns away

The calls between VMs share one client and one endpoint form. Ruled out: a longer grace before the seal, which a nine-second refusal outlasts as well.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -93,7 +93,8 @@
         )
     private val log = ChangeLog()
     private val relay = Relay(log, clock::now)
-    private val feed = RelayedFeed(settings.nodeId, settings.zone, ports.feed, { nodes.values }, { load }, clock::now)
+    private val peers = PeerClient()
+    private val feed = RelayedFeed(settings.nodeId, settings.zone, ports.feed, peers, { nodes.values }, { load }, clock::now)
     private val crashes = CrashReporter(settings.nodeId, ports.store)
     private val registration = NodeRegistration(record, ports.store, { feed.isRelayed }, ::loadToRegister)
     private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.repeatBound()))
@@ -115,10 +116,16 @@
 
     @Volatile
     private var announced: List<BackendServer> = emptyList()
-    private val duties =
+    private val duties: FleetDuties? =
         ports.duties?.let {
-            FleetDuties(settings.nodeId, settings.bounds, ports.store, it, clock, SuspendAwareClock(), ::fleetState, { nodes.size })
+            FleetDuties(settings.nodeId, settings.bounds, ports.store, it, clock, SuspendAwareClock(), ::fleetState, {
+                nodes.size
+            }) { flush ->
+                courier.handOver(flush)
+            }
         }
+    private val courier: UsageCourier =
+        UsageCourier(settings.nodeId, peers, ::otherVms) { flush -> duties?.usage?.write(flush) }
 
     private val status =
         object : NodeStatus {
@@ -202,11 +209,13 @@
         val (host, port) = settings.callers.split(':')
         val callers = HttpListener(host, port.toInt(), open.counting(calls::handle))
         val metricsListener = HttpListener(settings.address, settings.metricsPort, ::metrics, isQuick = true)
-        val relayListener = HttpListener(settings.address, settings.peerPort, relay::handle)
-        val optional = listOf(metricsListener.takeIf { settings.metricsPort > 0 }, relayListener.takeIf { settings.peerPort > 0 })
+        val peerListener = HttpListener(settings.address, settings.peerPort, peerHandler(*peerEndpoints()))
+        val optional = listOf(metricsListener.takeIf { settings.metricsPort > 0 }, peerListener.takeIf { settings.peerPort > 0 })
         return listOf(callers) + ports.listeners(settings, status) + optional.filterNotNull()
     }
 
+    private fun peerEndpoints() = arrayOf(peerEndpoint(Relay.ROUTE, relay::answer), peerEndpoint(UsageCourier.ROUTE, courier::take))
+
     private fun metrics(request: Request): Response =
         if (request.uri.path == "/metrics") Response(Status.OK).body(metrics.scrape()) else Response(Status.NOT_FOUND)
 
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/PeerCalls.kt
@@ -0,0 +1,103 @@
+/*
+ * Calls between entry VMs: a question and an answer in CBOR over HTTP on the peers' port. A peer that does not answer in
+ * time counts as absent; nothing that is decided here waits for it longer.
+ */
+package org.ragwortlever.daemon.fleet
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import org.http4k.core.Body
+import org.http4k.core.HttpHandler
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.ragwortlever.core.fleet.NodeRecord
+import org.ragwortlever.http.KeepAliveSocketFactory
+import org.ragwortlever.http.plainHttpClient
+import java.io.IOException
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.toJavaDuration
+
+/** One kind of call between entry VMs. */
+internal class PeerRoute<Question, Answer>(
+    val path: String,
+    val questions: KSerializer<Question>,
+    val answers: KSerializer<Answer>,
+)
+
+/** Asks other entry VMs; calls block. */
+@OptIn(ExperimentalSerializationApi::class)
+internal class PeerClient {
+    private val client: OkHttpClient =
+        plainHttpClient()
+            .retryOnConnectionFailure(false)
+            .socketFactory(KeepAliveSocketFactory)
+            .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
+            .readTimeout(Duration.ZERO.toJavaDuration())
+            .build()
+
+    /** The answer of [peer], or why there is none within [timeout]. */
+    fun <Question, Answer> ask(
+        peer: NodeRecord,
+        route: PeerRoute<Question, Answer>,
+        question: Question,
+        timeout: Duration,
+    ): Result<Answer, String> {
+        val body = Cbor.encodeToByteArray(route.questions, question).toRequestBody()
+        val call = client.newCall(Request.Builder().url("http://${peer.peers}${route.path}").post(body).build())
+        call.timeout().timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        return try {
+            call.execute().use { response ->
+                if (!response.isSuccessful) return Err("status ${response.code}")
+                Ok(Cbor.decodeFromByteArray(route.answers, response.body.bytes()))
+            }
+        } catch (failure: IOException) {
+            Err(failure.toString())
+        } catch (failure: SerializationException) {
+            Err(failure.toString())
+        } catch (failure: IllegalArgumentException) {
+            // The decoder reports some malformed inputs this way.
+            Err(failure.toString())
+        }
+    }
+
+    private companion object {
+        val CONNECT_TIMEOUT = 300.milliseconds
+    }
+}
+
+/** Serves [route]; [answer] returns null when this VM can't answer, and may block. */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun <Question, Answer> peerEndpoint(
+    route: PeerRoute<Question, Answer>,
+    answer: (Question) -> Answer?,
+): Pair<String, HttpHandler> =
+    route.path to { request ->
+        val question = runCatching {
+            Cbor.decodeFromByteArray(route.questions, request.body.stream.readNBytes(LONGEST_QUESTION_BYTES))
+        }
+        question.fold(
+            onSuccess = { asked -> answer(asked)?.let { answered(Cbor.encodeToByteArray(route.answers, it)) } ?: UNABLE },
+            onFailure = { Response(Status.BAD_REQUEST).body(it.message.orEmpty()) },
+        )
+    }
+
+/** One handler for all [endpoints], by path. */
+internal fun peerHandler(vararg endpoints: Pair<String, HttpHandler>): HttpHandler {
+    val byPath = endpoints.toMap()
+    return { request -> byPath[request.uri.path]?.invoke(request) ?: Response(Status.NOT_FOUND) }
+}
+
+private fun answered(bytes: ByteArray) = Response(Status.OK).body(Body(bytes.inputStream(), bytes.size.toLong()))
+
+private val UNABLE = Response(Status.SERVICE_UNAVAILABLE)
+private const val LONGEST_QUESTION_BYTES = 64 * 1024
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RelayedFeed.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RelayedFeed.kt
@@ -6,14 +6,9 @@
 
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
-import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import org.ragwortlever.core.fleet.NodeRecord
-import org.ragwortlever.core.fleet.RelayAnswer
 import org.ragwortlever.core.fleet.RelayQuestion
 import org.ragwortlever.core.fleet.ServiceLoad
 import org.ragwortlever.core.log.eventLine
@@ -22,14 +17,10 @@
 import org.ragwortlever.core.store.StoreFailure
 import org.ragwortlever.core.store.StoreRead
 import org.ragwortlever.daemon.platform.ChangeFeed
-import org.ragwortlever.http.KeepAliveSocketFactory
-import org.ragwortlever.http.plainHttpClient
-import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
-import kotlin.time.toJavaDuration
 
 /** The relay for the VM [self] among [nodes]; null when it asks the store itself. */
 internal fun relayFor(
@@ -46,22 +37,15 @@
     return rendezvousOrder(self, candidates.filter { it != self && it !in passedOver }).firstOrNull()?.let(near::get)
 }
 
-@OptIn(ExperimentalSerializationApi::class)
 internal class RelayedFeed(
     private val self: String,
     private val zone: String,
     private val direct: ChangeFeed,
+    private val peers: PeerClient,
     private val nodes: () -> Collection<NodeRecord>,
     private val load: () -> Map<String, ServiceLoad>,
     private val now: () -> Instant,
 ) : ChangeFeed {
-    private val client =
-        plainHttpClient()
-            .retryOnConnectionFailure(false)
-            .socketFactory(KeepAliveSocketFactory)
-            .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
-            .readTimeout(Duration.ZERO.toJavaDuration())
-            .build()
     private var lastRelay: String? = null
     private val passedOver = HashMap<String, Instant>()
 
@@ -98,17 +82,7 @@
         wait: Duration,
     ): StoreChanges? {
         val question = RelayQuestion(self, revision, wait.inWholeMilliseconds, load())
-        val body = Cbor.encodeToByteArray(RelayQuestion.serializer(), question).toRequestBody()
-        val call = client.newCall(Request.Builder().url("http://${relay.peers}${Relay.PATH}").post(body).build())
-        call.timeout().timeout((wait + ANSWER_TIMEOUT).inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
-        val answer =
-            try {
-                call.execute().use { Cbor.decodeFromByteArray(RelayAnswer.serializer(), it.body.bytes()) }
-            } catch (failure: IOException) {
-                return passOver(relay, failure.toString())
-            } catch (failure: SerializationException) {
-                return passOver(relay, failure.toString())
-            }
+        val answer = peers.ask(relay, Relay.ROUTE, question, wait + ANSWER_TIMEOUT).getOrElse { return passOver(relay, it) }
         if (answer.ageMilliseconds.milliseconds > OLDEST_STATE) return passOver(relay, "its state is ${answer.ageMilliseconds} ms old")
         isRelayed = true
         age = answer.ageMilliseconds.milliseconds
@@ -133,7 +107,6 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-        val CONNECT_TIMEOUT = 300.milliseconds
         val ANSWER_TIMEOUT = 400.milliseconds
 
         // Two steps of a relay that follows the store.
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -5,6 +5,7 @@
 import org.ragwortlever.core.lease.LeaseClaim
 import org.ragwortlever.core.lease.LeaseTimes
 import org.ragwortlever.core.settings.BoundSettings
+import org.ragwortlever.core.usage.UsageFlush
 import org.ragwortlever.core.usage.UsageKeys
 import org.ragwortlever.core.usage.UsageWindow
 import org.ragwortlever.daemon.platform.KeyValueStore
@@ -26,6 +27,7 @@
 }
 
 /**
+ * @param handOver has another node write usage that the store does not take from this one; null if none could.
  * @param leaseClock must count the time in which the process stood still, so that a lease is never believed too long.
  */
 internal class FleetDuties(
@@ -37,6 +39,7 @@
     leaseClock: Clock,
     fleet: () -> FleetState,
     private val nodes: () -> Int,
+    handOver: (UsageFlush) -> UsageFlush?,
 ) : AutoCloseable {
     private val times = bounds.leaseTimes()
     private val source = "$node@${clock.now().toEpochMilliseconds()}"
@@ -52,6 +55,7 @@
             nextFlush = { flushAfterWindow(it, bounds) },
             times = UsageTimes(bounds.usageWindowSeconds.seconds, usageGrace(bounds), times, PAUSE),
             isOpenWindowFlushed = { flushPeriod() < bounds.usageWindowSeconds.seconds },
+            handOver = handOver,
             reports = ports.reports(sender, bounds.usageWindowSeconds),
         )
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
@@ -46,7 +46,10 @@
     val pause: Duration = RoleThread.PAUSE,
 )
 
-/** @param isOpenWindowFlushed whether a window that has not ended is flushed as well; a large fleet loses little without it. */
+/**
+ * @param isOpenWindowFlushed whether a window that has not ended is flushed as well; a large fleet loses little without it.
+ * @param handOver has another node write what the store does not take from this one; null if none could.
+ */
 internal class UsageRole(
     private val store: KeyValueStore,
     private val lease: DutyLease,
@@ -55,6 +58,7 @@
     private val nextFlush: (Instant) -> Instant,
     private val times: UsageTimes = UsageTimes(),
     private val isOpenWindowFlushed: () -> Boolean = { true },
+    private val handOver: (UsageFlush) -> UsageFlush? = { null },
     private val reports: UsageReports,
 ) : AutoCloseable {
     private val ledger = AtomicReference(UsageLedger(source, windowLength = times.windowLength))
@@ -123,14 +127,14 @@
         flushAll(ledger.get().flushes().filter { isOpenWindowFlushed() || it.window != open })
         repeat(deadSources.size) {
             val source = deadSources.poll() ?: return
-            val left = copies.get().flushes(source).filterNot { flush -> (run(flush) != null).also { if (it) forget(flush) } }
+            val left = copies.get().flushes(source).filterNot { flush -> (write(flush) != null).also { if (it) forget(flush) } }
             if (left.isNotEmpty()) deadSources += source
         }
     }
 
     private fun flushAll(flushes: List<UsageFlush>) {
         flushes.forEach { flush ->
-            val done = run(flush) ?: return
+            val done = write(flush) ?: handOver(flush) ?: return
             ledger.updateAndGet { it.flushed(done, now()) }
         }
     }
@@ -139,8 +143,8 @@
         copies.updateAndGet { it.flushed(flush) }
     }
 
-    /** The flush with the revision that it wrote; null if the store did not take it. */
-    private fun run(flush: UsageFlush): UsageFlush? {
+    /** Writes [flush], which may be another node's; null if the store did not take it. */
+    fun write(flush: UsageFlush): UsageFlush? {
         var current = flush
         while (!current.isOver) current = current.answered(store.answer(current.next()))
         return current.takeIf { it.isDone }
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/RelayLoadTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/RelayLoadTest.kt
@@ -1,9 +1,5 @@
 package org.ragwortlever.daemon.fleet
 
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.cbor.Cbor
-import org.http4k.core.Method
-import org.http4k.core.Request
 import org.junit.jupiter.api.Test
 import org.ragwortlever.core.fleet.ChangeLog
 import org.ragwortlever.core.fleet.RelayQuestion
@@ -14,7 +10,6 @@
 import kotlin.time.Instant
 
 /** Pattern: a large fleet under load, in which whoever orders servers learns the load from a few relays. */
-@OptIn(ExperimentalSerializationApi::class)
 class RelayLoadTest {
     private var now = Instant.fromEpochSeconds(1000)
     private val relay = Relay(ChangeLog().apply { reset(1, now) }, { now })
@@ -23,8 +18,7 @@
         node: String,
         load: Map<String, ServiceLoad>,
     ) {
-        val question = Cbor.encodeToByteArray(RelayQuestion.serializer(), RelayQuestion(node, 0, 0, load))
-        relay.handle(Request(Method.POST, Relay.PATH).body(question.inputStream()))
+        relay.answer(RelayQuestion(node, 0, 0, load))
     }
 
     @Test
