--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -1,6 +1,7 @@
 // The events that the dispatcher takes and the effects that it asks for.
 package org.ragwortlever.core.dispatch
 
+import kotlinx.serialization.Serializable
 import org.ragwortlever.core.backend.KnownServer
 import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.error.Refusal
@@ -10,6 +11,7 @@
 import kotlin.time.Instant
 
 /** A part of a prompt; requests whose prompts begin with the same parts share what a model engine has read of them. */
+@Serializable
 data class PromptPart(
     val id: String,
     val tokens: Int,
@@ -92,9 +94,37 @@
         val zones: Set<String>,
     ) : DispatchEvent
 
-    /** The entry VMs that take requests, by name. */
+    /**
+     * The entry VMs that take requests.
+     *
+     * @property nodes their names.
+     * @property deciders those that other VMs can ask, with the processor cores that each has.
+     */
     data class NodesChanged(
         val nodes: Set<String>,
+        val deciders: Map<String, Double> = emptyMap(),
+    ) : DispatchEvent
+
+    /** The answer to the question [number] for the request [key]; null when the deciding VM gave none in time. */
+    data class Advised(
+        val key: Long,
+        val number: Long,
+        val answer: PoolAnswer?,
+    ) : DispatchEvent
+
+    /** Another entry VM asks; the answer is a [DispatchEffect.Answer]. */
+    data class Asked(
+        val question: PoolQuestion,
+    ) : DispatchEvent
+
+    /** Another entry VM reports what it does. */
+    data class Reported(
+        val report: PoolReport,
+    ) : DispatchEvent
+
+    /** What happened at [service] since the last report or question is to be reported now. */
+    data class ReportDue(
+        val service: String,
     ) : DispatchEvent
 
     /** Another entry VM saw [server] fail under requests with [digests]. */
@@ -106,11 +136,21 @@
 }
 
 sealed interface DispatchEffect {
-    /** What is to become of the request [key]. */
+    /** What is to be done for the request [key] next. */
     sealed interface Decision : DispatchEffect {
         val key: Long
     }
 
+    /** A decision that needs no other entry VM. */
+    sealed interface Settled : Decision
+
+    /** Ask the entry VM [decider]; the answer comes back as [DispatchEvent.Advised]. */
+    data class Ask(
+        override val key: Long,
+        val decider: String,
+        val question: PoolQuestion,
+    ) : Decision
+
     /**
      * Send the request to [server].
      *
@@ -122,13 +162,30 @@
         val attempt: Int,
         val patience: Duration?,
         val reason: String,
-    ) : Decision
+    ) : Settled
 
     /** Give the caller its final answer at once. */
     data class Refuse(
         override val key: Long,
         val refusal: Refusal,
-    ) : Decision
+    ) : Settled
+
+    /** The answer to another entry VM's question. */
+    data class Answer(
+        val answer: PoolAnswer,
+    ) : DispatchEffect
+
+    /** Send a [DispatchEvent.ReportDue] after [delay]. */
+    data class ScheduleReport(
+        val service: String,
+        val delay: Duration,
+    ) : DispatchEffect
+
+    /** Tell the entry VM [decider] what this one does. */
+    data class Report(
+        val decider: String,
+        val report: PoolReport,
+    ) : DispatchEffect
 
     /** Tell the other entry VMs that [server] failed under requests with [digests]. */
     data class ReportCrash(
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -1,11 +1,13 @@
 /*
  * Decides for each routed request which backend server gets it, whether a failed attempt is repeated, and when the
  * request is refused. It runs on one thread, takes events with the present time and returns the effects to carry out.
+ *
+ * Where a service runs on model engines, one entry VM chooses for all of them, because only the work of all VMs together
+ * tells which engine has room. A VM whose question is not answered in time chooses by what it knows itself.
  */
 package org.ragwortlever.core.dispatch
 
 import org.ragwortlever.core.admission.DecayedRate
-import org.ragwortlever.core.backend.ColdBudget
 import org.ragwortlever.core.backend.KnownServer
 import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.error.ErrorKind
@@ -36,14 +38,15 @@
 class Dispatcher(
     private val options: DispatchOptions,
 ) {
-    private val servers = HashMap<String, ServerState>()
-    private val open = HashMap<Long, OpenRequest>()
+    private val pool = ServerPool(options)
+    private val desk = PoolDesk(pool)
+    private val deciders = PoolDeciders(options.node)
+    private val reporter = PoolReporter(options.node)
+    private val open = LinkedHashMap<Long, OpenRequest>()
     private val allowances = HashMap<String, RepeatAllowance>()
     private val suspects = CrashSuspects()
-    private val cold = ColdBudget(options.node)
     private val readRates = HashMap<String, DecayedRate>()
-    private var nodes = setOf(options.node)
-    private var zonesTakenOut = emptySet<String>()
+    private var questions = 0L
 
     /** Requests that are not answered yet. */
     val openRequests: Int get() = open.size
@@ -53,7 +56,7 @@
         readRates.mapValues { (service, rate) ->
             // Rounded, so that an idle system does not look changed all the time.
             val seconds = (rate.perSecond(now) * LOAD_STEPS).roundToInt() / LOAD_STEPS
-            ServiceLoad(seconds, open.values.count { it.running?.server?.known?.server?.service == service })
+            ServiceLoad(seconds, attemptsAt(service).size)
         }
 
     fun handle(
@@ -63,13 +66,17 @@
         val effects = ArrayList<DispatchEffect>()
         when (event) {
             is DispatchEvent.Submit -> submit(event.request, now, effects)
-            is DispatchEvent.FirstByte -> firstByte(event.key, now)
+            is DispatchEvent.Advised -> advised(event, now, effects)
+            is DispatchEvent.FirstByte -> firstByte(event.key, now, effects)
             is DispatchEvent.AttemptEnded -> ended(event, now, effects)
-            is DispatchEvent.CallerGone -> close(event.key)
-            is DispatchEvent.ServersChanged -> replaceServers(event.servers, now, effects)
-            is DispatchEvent.ZonesTakenOut -> zonesTakenOut = event.zones
-            is DispatchEvent.NodesChanged -> replaceNodes(event.nodes)
+            is DispatchEvent.CallerGone -> close(event.key, effects)
+            is DispatchEvent.ServersChanged -> pool.replace(event.servers).forEach { confirmCrash(it, now, effects) }
+            is DispatchEvent.ZonesTakenOut -> pool.zonesTakenOut = event.zones
+            is DispatchEvent.NodesChanged -> replaceNodes(event)
             is DispatchEvent.CrashReported -> event.digests.forEach { suspects.failed(it, event.server, event.zone, now) }
+            is DispatchEvent.Asked -> effects += DispatchEffect.Answer(PoolAnswer(desk.answer(event.question, now)))
+            is DispatchEvent.Reported -> desk.reported(event.report, now)
+            is DispatchEvent.ReportDue -> report(event.service, now, effects)
         }
         return effects
     }
@@ -97,10 +104,12 @@
     private fun firstByte(
         key: Long,
         now: Instant,
+        effects: MutableList<DispatchEffect>,
     ) {
         val attempt = open[key]?.running ?: return
         attempt.firstByteAt = now
         attempt.server.heard(now)
+        planReport(attempt, null, effects)
     }
 
     private fun ended(
@@ -112,6 +121,7 @@
         val attempt = opened.running ?: return
         attempt.server.running.remove(event.key)
         opened.running = null
+        planReport(attempt, event.end.toReport(attempt.server.id), effects)
         when (val end = event.end) {
             AttemptEnd.Answered -> {
                 attempt.server.health.succeeded(now)
@@ -120,18 +130,17 @@
                 open.remove(event.key)
             }
             is AttemptEnd.NotRun -> {
-                attempt.server.health.failed(end.failure, now)
+                attempt.server.failed(end.failure, now)
                 if (end.failure == ServerFailure.UNREACHABLE) confirmCrash(attempt.server, now, effects)
                 opened.refused += attempt.server.id
-                repeat(opened, end.failure, mayHaveRun = opened.mayHaveRun, now, effects)
+                repeat(opened, end.failure, now, effects)
             }
             is AttemptEnd.Failed -> {
-                attempt.server.health.failed(end.failure, now)
-                opened.mayHaveRun = true
+                attempt.server.failed(end.failure, now)
                 opened.failed += attempt.server.id
                 if (end.failure == ServerFailure.BROKEN) attempt.server.brokeOff(opened.request.digest, now)
                 if (opened.request.route.isRepeatable && end.canResume) {
-                    repeat(opened, end.failure, mayHaveRun = true, now, effects)
+                    repeat(opened, end.failure, now, effects)
                 } else {
                     refuse(opened, failed(end.failure), effects)
                 }
@@ -142,13 +151,12 @@
     private fun repeat(
         opened: OpenRequest,
         failure: ServerFailure,
-        mayHaveRun: Boolean,
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
         val request = opened.request
         val timeLeft = request.deadline - now
-        val refusal = if (mayHaveRun) failed(failure) else unavailable("the last server: $failure")
+        val refusal = if (opened.mayHaveRun) failed(failure) else unavailable("the last server: $failure")
         when {
             timeLeft < LEAST_TIME_FOR_SEND -> refuse(opened, refusal, effects)
             opened.failed.size >= request.route.maximumAttempts -> refuse(opened, refusal, effects)
@@ -160,65 +168,129 @@
         }
     }
 
+    /** Asks the VM that decides for the service, or chooses a server here. */
     private fun send(
         opened: OpenRequest,
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
+        val service = opened.request.services.firstOrNull()
+        val decider = service?.let { deciderFor(it, now) }
+        if (decider == null || decider == options.node) return sendByOwnChoice(opened, isShared = decider != null, now, effects)
+        val asked = OpenQuestion(++questions, decider, now)
+        opened.asked = asked
+        val attempts = attemptsAt(service.name)
+        val report = reporter.report(service.name, attempts, pendingAt(service.name), now)
+        effects += DispatchEffect.Ask(opened.request.key, decider, question(opened, service, asked.number, report, now))
+    }
+
+    private fun question(
+        opened: OpenRequest,
+        service: ServiceDefinition,
+        number: Long,
+        report: PoolReport,
+        now: Instant,
+    ): PoolQuestion {
         val request = opened.request
-        val best = request.services.firstNotNullOfOrNull { choose(opened, it, now) }
+        return PoolQuestion(
+            report = report,
+            number = number,
+            requestId = request.id,
+            parts = request.parts,
+            outputTokens = request.outputTokens,
+            zone = options.zone,
+            engineTokens = service.engine?.cacheTokens ?: 0,
+            excluded = opened.failed + opened.refused + pool.avoided(service.name, now),
+            cold = pool.coldWithRoom(service, now),
+        )
+    }
+
+    private fun advised(
+        event: DispatchEvent.Advised,
+        now: Instant,
+        effects: MutableList<DispatchEffect>,
+    ) {
+        val opened = open[event.key] ?: return
+        val asked = opened.asked?.takeIf { it.number == event.number } ?: return
+        opened.asked = null
+        if (event.answer == null) deciders.failed(asked.decider, now) else deciders.answered(asked.decider)
+        // A VM that stood still meanwhile would act on a state of the pool that has passed.
+        val advice = event.answer?.advice?.takeIf { now - asked.at <= ADVICE_LIFETIME }
+        val server = advice?.let { pool.advised(it, opened.request.services.first(), now) }
+        if (advice == null || server == null) return sendByOwnChoice(opened, isShared = false, now, effects)
+        if (opened.request.deadline - now < LEAST_TIME_FOR_SEND) {
+            return refuse(opened, Refusal(ErrorKind.WAIT_EXCEEDED, "the caller's wait ends before a server could answer"), effects)
+        }
+        sendTo(server, advice.uncachedTokens, "${advice.reason} decider=${asked.decider}", opened, now, effects)
+    }
+
+    private fun sendByOwnChoice(
+        opened: OpenRequest,
+        isShared: Boolean,
+        now: Instant,
+        effects: MutableList<DispatchEffect>,
+    ) {
+        val best = opened.request.services.firstNotNullOfOrNull { service ->
+            pool.choose(opened.request, service, opened.failed, opened.refused, isShared, now)
+        }
         if (best == null) {
-            refuse(
-                opened,
-                if (opened.mayHaveRun) failed(ServerFailure.UNREACHABLE) else unavailable("no backend server can take it"),
-                effects,
-            )
-            return
+            val refusal = if (opened.mayHaveRun) failed(ServerFailure.UNREACHABLE) else unavailable("no backend server can take it")
+            return refuse(opened, refusal, effects)
         }
-        val server = best.server
-        val attempt = RunningAttempt(request, server, now, best.uncachedTokens, opened.sends + 1)
-        opened.sends++
+        sendTo(best.server, best.uncachedTokens, "score=%.3f".format(best.seconds), opened, now, effects)
+    }
+
+    private fun sendTo(
+        server: ServerState,
+        uncachedTokens: Int,
+        reason: String,
+        opened: OpenRequest,
+        now: Instant,
+        effects: MutableList<DispatchEffect>,
+    ) {
+        val request = opened.request
+        val attempt = RunningAttempt(request, server, now, uncachedTokens, ++opened.sends)
         opened.running = attempt
         server.running[request.key] = attempt
         server.sent(request.parts, now)
-        readRates.getOrPut(server.known.server.service) {
-            DecayedRate(LOAD_HALF_LIFE)
-        }.add(best.uncachedTokens / PROMPT_TOKENS_PER_SECOND, now)
-        if (server.isCold(now)) cold.sent(server.id, now)
-        effects += DispatchEffect.Send(request.key, server.known, attempt.number, patience(opened, now), "score=%.3f".format(best.seconds))
+        pool.sent(server, now)
+        readRates.getOrPut(server.known.server.service) { DecayedRate(LOAD_HALF_LIFE) }.add(uncachedTokens / PROMPT_TOKENS_PER_SECOND, now)
+        effects += DispatchEffect.Send(request.key, server.known, attempt.number, patience(opened, now), reason)
     }
 
-    private fun choose(
-        opened: OpenRequest,
+    /** The VM that decides for [service]; null for a service whose servers need no common choice. */
+    private fun deciderFor(
         service: ServiceDefinition,
         now: Instant,
-    ): ServerScore? {
-        val possible =
-            servers.values.filter { server ->
-                server.known.server.service == service.name &&
-                    server.zone !in zonesTakenOut &&
-                    server.id !in opened.failed &&
-                    (!server.isCold(now) || cold.allows(server.id, service.coldPerSecond, nodes, now))
-            }
-        val fresh = possible.filter { it.id !in opened.refused }.ifEmpty {
-            if (opened.refused.size >
-                possible.size
-            ) {
-                emptyList()
-            } else {
-                possible
-            }
-        }
-        val speaking = fresh.filterNot { it.isSilent(SILENCE, now) }.ifEmpty { fresh }
-        val sound = speaking.filter { now >= it.health.avoidUntil }.ifEmpty { speaking }
-        return scoreServers(opened.request, sound, scoreContext(service), now).firstOrNull()
+    ): String? = if (service.engine == null) null else deciders.deciderFor(service.name, now)
+
+    private fun planReport(
+        attempt: RunningAttempt,
+        end: ReportedEnd?,
+        effects: MutableList<DispatchEffect>,
+    ) {
+        val service = attempt.request.services.firstOrNull { it.name == attempt.server.known.server.service } ?: return
+        if (service.engine == null) return
+        reporter.changed(service.name, end)?.let { effects += it }
     }
 
-    private fun scoreContext(service: ServiceDefinition): ScoreContext {
-        val engines = if (service.engine == null) emptyList() else servers.values.filter { it.known.server.service == service.name }
-        return ScoreContext(options.zone, nodes.size, serversForShortPrompts(service.name, engines))
+    private fun report(
+        service: String,
+        now: Instant,
+        effects: MutableList<DispatchEffect>,
+    ) {
+        if (!reporter.isDue(service)) return
+        val report = reporter.report(service, attemptsAt(service), pendingAt(service), now)
+        val decider = deciders.deciderFor(service, now) ?: return
+        if (decider != options.node) effects += DispatchEffect.Report(decider, report)
     }
 
+    private fun attemptsAt(service: String): List<RunningAttempt> =
+        open.values.mapNotNull { it.running }.filter { it.server.known.server.service == service }
+
+    private fun pendingAt(service: String): List<Long> =
+        open.values.filter { it.request.services.firstOrNull()?.name == service }.mapNotNull { it.asked?.number }
+
     /** A safe request that hears nothing is tried elsewhere while there is time for it. */
     private fun patience(
         opened: OpenRequest,
@@ -251,33 +323,26 @@
         effects += DispatchEffect.Refuse(opened.request.key, refusal)
     }
 
-    private fun close(key: Long) {
-        open.remove(key)?.running?.let { it.server.running.remove(key) }
-    }
-
-    private fun replaceServers(
-        listed: List<KnownServer>,
-        now: Instant,
+    private fun close(
+        key: Long,
         effects: MutableList<DispatchEffect>,
     ) {
-        val incarnations = listed.associate { it.server.id to it.server.incarnation }
-        val gone = servers.values.filter { incarnations[it.id] != it.known.server.incarnation }
-        gone.forEach {
-            servers.remove(it.id)
-            confirmCrash(it, now, effects)
-        }
-        listed.forEach { known ->
-            val state = servers[known.server.id]
-            if (state == null) servers[known.server.id] = ServerState(known) else state.known = known
-        }
+        val opened = open.remove(key) ?: return
+        if (opened.asked != null) opened.request.services.firstOrNull()?.let { reporter.changed(it.name) }?.let { effects += it }
+        val attempt = opened.running ?: return
+        attempt.server.running.remove(key)
+        planReport(attempt, null, effects)
     }
 
-    private fun replaceNodes(changed: Set<String>) {
-        if (changed.size != nodes.size) allowances.clear()
-        nodes = changed + options.node
+    private fun replaceNodes(changed: DispatchEvent.NodesChanged) {
+        if (changed.nodes.size != pool.nodes.size) allowances.clear()
+        pool.nodes = changed.nodes + options.node
+        deciders.replace(changed.deciders)
+        desk.keepOnly(pool.nodes)
     }
 
-    private fun allowance(service: ServiceDefinition) = allowances.getOrPut(service.name) { RepeatAllowance(options.repeats, nodes.size) }
+    private fun allowance(service: ServiceDefinition) =
+        allowances.getOrPut(service.name) { RepeatAllowance(options.repeats, pool.nodes.size) }
 
     private companion object {
         // Nearly every server needs longer than this, so the request would run for nobody.
@@ -285,27 +350,36 @@
 
         // Refusals by full servers cost no run, but each costs a round trip and an arrival.
         const val MAXIMUM_SENDS = 4
-
-        // Longer than a busy server takes for its next sign of life, short against the time that callers wait.
-        val SILENCE = 800.milliseconds
         const val LOAD_STEPS = 100.0
 
         // Long enough to even out single long prompts, short against the time in which a new server starts.
         val LOAD_HALF_LIFE = 2.seconds
+
+        // Several times the time that an answer may take; by then the engines have other work.
+        val ADVICE_LIFETIME = 100.milliseconds
     }
 }
 
+/** A question to the deciding VM whose answer has not come. */
+private class OpenQuestion(
+    val number: Long,
+    val decider: String,
+    val at: Instant,
+)
+
 /** A request that is not answered yet. */
 private class OpenRequest(
     val request: RoutedRequest,
 ) {
     var running: RunningAttempt? = null
+    var asked: OpenQuestion? = null
     var sends = 0
-    var mayHaveRun = false
 
     /** Servers on which an attempt may have run. */
     val failed = HashSet<String>()
 
+    val mayHaveRun: Boolean get() = failed.isNotEmpty()
+
     /** Servers that did not run the request. */
     val refused = HashSet<String>()
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/EnginePools.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/EnginePools.kt
@@ -5,6 +5,7 @@
  */
 package org.ragwortlever.core.dispatch
 
+import org.ragwortlever.core.membership.inRendezvousOrder
 import org.ragwortlever.core.membership.rendezvousWeight
 import kotlin.math.roundToInt
 
@@ -19,14 +20,14 @@
     return servers
         .groupBy { it.zone }
         .values
-        .flatMap { zone -> zone.sortedByDescending { rendezvousWeight(service, it.id) }.withIndex() }
+        .flatMap { zone -> zone.inRendezvousOrder(service) { it.id }.withIndex() }
         .sortedWith(compareBy({ it.index }, { -rendezvousWeight(service, it.value.zone) }))
         .take(count)
         .mapTo(HashSet()) { it.value.id }
 }
 
-/** Whether the prompt of [request] takes an engine so long to read that answers beside it stall. */
-internal fun isLong(request: RoutedRequest): Boolean = request.promptTokens >= LONG_PROMPT_TOKENS
+/** Whether a prompt of [promptTokens] takes an engine so long to read that answers beside it stall. */
+internal fun isLong(promptTokens: Int): Boolean = promptTokens >= LONG_PROMPT_TOKENS
 
 // About an eighth of a second of reading; a live conversation bears a few of these in a row.
 private const val LONG_PROMPT_TOKENS = 4500
--- /dev/null
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerPool.kt
@@ -0,0 +1,162 @@
+// The backend servers that an entry VM may send to, and the choice among them.
+package org.ragwortlever.core.dispatch
+
+import org.ragwortlever.core.backend.ColdBudget
+import org.ragwortlever.core.backend.KnownServer
+import org.ragwortlever.core.route.ServiceDefinition
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** Owned by one dispatcher. */
+internal class ServerPool(
+    private val options: DispatchOptions,
+) {
+    private val servers = HashMap<String, ServerState>()
+    private val cold = ColdBudget(options.node)
+
+    /** Servers for short prompts by service; each change of the servers makes the division anew. */
+    private val shortPromptServers = HashMap<String, Set<String>>()
+
+    /** The entry VMs that take requests, this one included. */
+    var nodes: Set<String> = setOf(options.node)
+    var zonesTakenOut: Set<String> = emptySet()
+
+    fun find(id: String): ServerState? = servers[id]
+
+    /** Takes the servers that may get requests now; returns the states of those whose processes have gone. */
+    fun replace(listed: List<KnownServer>): List<ServerState> {
+        shortPromptServers.clear()
+        val incarnations = listed.associate { it.server.id to it.server.incarnation }
+        val gone = servers.values.filter { incarnations[it.id] != it.known.server.incarnation }
+        gone.forEach { servers.remove(it.id) }
+        listed.forEach { known ->
+            val state = servers[known.server.id]
+            if (state == null) servers[known.server.id] = ServerState(known) else state.known = known
+        }
+        return gone
+    }
+
+    /**
+     * The best server of [service] for a request of this VM; null when none may get it.
+     *
+     * @param failed servers that it must not get again.
+     * @param refused servers that it gets only when there is no other.
+     * @param isShared whether this VM knows what the others do at the service.
+     */
+    fun choose(
+        request: RoutedRequest,
+        service: ServiceDefinition,
+        failed: Set<String>,
+        refused: Set<String>,
+        isShared: Boolean,
+        now: Instant,
+    ): ServerScore? {
+        val demand = ServerDemand(request.id, request.parts, request.outputTokens)
+        val engineTokens = service.engine?.cacheTokens
+        val possible =
+            possible(service.name)
+                .filter { it.id !in failed && mayGetNow(it, service, now) }
+                .fitting(demand, division(service.name, engineTokens))
+        val untried = possible.filter { it.id !in refused }
+        val fresh = if (untried.isEmpty() && refused.size <= possible.size) possible else untried
+        val speaking = fresh.filterNot { it.isSilent(SILENCE, now) }.ifEmpty { fresh }
+        val sound = speaking.filter { now >= it.health.avoidUntil }.ifEmpty { speaking }
+        return best(demand, sound, engineTokens, options.zone, service.name, isShared, now)
+    }
+
+    /** The best server for another VM's [question]. */
+    fun chooseFor(
+        question: PoolQuestion,
+        now: Instant,
+    ): ServerScore? {
+        val service = question.report.service
+        val demand = ServerDemand(question.requestId, question.parts, question.outputTokens)
+        val engineTokens = question.engineTokens.takeIf { it > 0 }
+        val possible =
+            possible(service)
+                .filter { it.id !in question.excluded && (!it.isCold(now) || it.id in question.cold) }
+                .fitting(demand, division(service, engineTokens))
+        val sound = possible.filter { now >= it.health.avoidUntil }.ifEmpty { possible }
+        return best(demand, sound, engineTokens, question.zone, service, isShared = true, now)
+    }
+
+    /** Servers of [service] that this VM would rather not use now: they failed lately or say nothing. */
+    fun avoided(
+        service: String,
+        now: Instant,
+    ): Set<String> =
+        possible(service).filter { now < it.health.avoidUntil || it.isSilent(SILENCE, now) }.mapTo(HashSet()) { it.id }
+
+    /** Cold servers of [service] that this VM may send one request now. */
+    fun coldWithRoom(
+        service: ServiceDefinition,
+        now: Instant,
+    ): Set<String> = possible(service.name).filter { it.isCold(now) && mayGetNow(it, service, now) }.mapTo(HashSet()) { it.id }
+
+    /** The server that [advice] names, if it may still get a request of [service] from this VM. */
+    fun advised(
+        advice: PoolAdvice,
+        service: ServiceDefinition,
+        now: Instant,
+    ): ServerState? =
+        servers[advice.server]?.takeIf {
+            it.known.server.incarnation == advice.incarnation && it.zone !in zonesTakenOut && mayGetNow(it, service, now)
+        }
+
+    /** Notes that [server] gets a request. */
+    fun sent(
+        server: ServerState,
+        now: Instant,
+    ) {
+        if (server.isCold(now)) cold.sent(server.id, now)
+    }
+
+    private fun possible(service: String): List<ServerState> =
+        servers.values.filter { it.known.server.service == service && it.zone !in zonesTakenOut }
+
+    private fun mayGetNow(
+        server: ServerState,
+        service: ServiceDefinition,
+        now: Instant,
+    ): Boolean = !server.isCold(now) || cold.allows(server.id, service.coldPerSecond, nodes, now)
+
+    private fun best(
+        demand: ServerDemand,
+        candidates: List<ServerState>,
+        engineTokens: Int?,
+        zone: String,
+        service: String,
+        isShared: Boolean,
+        now: Instant,
+    ): ServerScore? {
+        val context = ScoreContext(zone, nodes.size, isShared, engineTokens, division(service, engineTokens))
+        return scoreServers(demand, candidates, context, now).firstOrNull()
+    }
+
+    private fun division(
+        service: String,
+        engineTokens: Int?,
+    ): Set<String> {
+        if (engineTokens == null) return emptySet()
+        return shortPromptServers.getOrPut(service) {
+            serversForShortPrompts(service, servers.values.filter { it.known.server.service == service })
+        }
+    }
+
+    private companion object {
+        // Longer than a busy server takes for its next sign of life, short against the time that callers wait.
+        val SILENCE = 800.milliseconds
+    }
+}
+
+/**
+ * The servers of this list that [demand] should get. Long prompts stay away from engines for [shortPromptServers] while
+ * there is any other, even one that fails: under overload, late answers make all others look bad.
+ */
+private fun List<ServerState>.fitting(
+    demand: ServerDemand,
+    shortPromptServers: Set<String>,
+): List<ServerState> {
+    if (!isLong(demand.promptTokens)) return this
+    return filter { it.id !in shortPromptServers }.ifEmpty { this }
+}
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerScore.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerScore.kt
@@ -4,18 +4,32 @@
  */
 package org.ragwortlever.core.dispatch
 
-import org.ragwortlever.core.membership.rendezvousWeight
+import org.ragwortlever.core.membership.inRendezvousOrder
 import kotlin.time.Instant
 
+/** What a server is chosen for. */
+internal data class ServerDemand(
+    val requestId: String,
+    val parts: List<PromptPart>,
+    val outputTokens: Int,
+) {
+    val promptTokens: Int get() = parts.sumOf { it.tokens }
+}
+
 /**
- * What scores depend on beside server and request.
+ * What scores depend on beside server and demand.
  *
+ * @property zone availability zone of the VM that will send.
  * @property nodes entry VMs that send to the same servers.
+ * @property isShared whether the servers' states hold what all entry VMs do there, and not this one alone.
+ * @property engineTokens memory of one model engine, in tokens; null when unknown.
  * @property shortPromptServers servers that are kept for short prompts.
  */
 internal data class ScoreContext(
     val zone: String,
     val nodes: Int,
+    val isShared: Boolean = false,
+    val engineTokens: Int? = null,
     val shortPromptServers: Set<String> = emptySet(),
 )
 
@@ -26,50 +40,76 @@
     val seconds: Double,
 )
 
-/** Scores of [candidates] for [request], best first. */
+/** Scores of [candidates] for [demand], best first. */
 internal fun scoreServers(
-    request: RoutedRequest,
+    demand: ServerDemand,
     candidates: List<ServerState>,
     context: ScoreContext,
     now: Instant,
 ): List<ServerScore> {
     // The last part is the request's own; the one before it names the longest shared beginning.
-    val shared = request.parts.dropLast(1).lastOrNull()?.id ?: request.id
-    val (own, foreign) = candidates.partition { isOwnPool(request, it, context) }
-    val byAffinity = own.sortedByDescending { rendezvousWeight(shared, it.id) } + foreign
+    val shared = demand.parts.dropLast(1).lastOrNull()?.id
+    val (own, foreign) = candidates.partition { isOwnPool(demand, it, context) }
+    val byAffinity = own.inRendezvousOrder(shared ?: demand.requestId) { it.id } + foreign
+    val home = if (shared == null || isPlaced(shared, candidates, context, now)) null else byAffinity.firstOrNull()
     return byAffinity
-        .mapIndexed { rank, server -> score(request, server, rank, context, now) }
+        .map { server -> score(demand, server, isHome = server === home, context, now) }
         .sortedBy { it.seconds }
 }
 
+/** Whether this VM knows for certain that a server has read the part [shared] and which one. */
+private fun isPlaced(
+    shared: String,
+    candidates: List<ServerState>,
+    context: ScoreContext,
+    now: Instant,
+): Boolean = context.isShared && candidates.any { it.hasRead(shared, now) }
+
 private fun isOwnPool(
-    request: RoutedRequest,
+    demand: ServerDemand,
     server: ServerState,
     context: ScoreContext,
-): Boolean = context.shortPromptServers.isEmpty() || (server.id in context.shortPromptServers) != isLong(request)
+): Boolean = context.shortPromptServers.isEmpty() || (server.id in context.shortPromptServers) != isLong(demand.promptTokens)
 
 private fun score(
-    request: RoutedRequest,
+    demand: ServerDemand,
     server: ServerState,
-    rank: Int,
+    isHome: Boolean,
     context: ScoreContext,
     now: Instant,
 ): ServerScore {
-    val own = server.uncachedTokens(request.parts, now)
-    // Other entry VMs send the same part to the server of the first rank, so it has probably read the shared parts.
-    val uncached = if (rank == 0 && request.parts.size > 1) minOf(own, request.parts.last().tokens) else own
-    val backlog = server.unreadTokens.toDouble() * minOf(context.nodes, LOAD_FACTOR_NODES) / PROMPT_TOKENS_PER_SECOND
-    val reading = uncached / PROMPT_TOKENS_PER_SECOND * READING_WEIGHT
-    val batch = server.running.size * SECONDS_PER_RUNNING_REQUEST
+    val own = server.uncachedTokens(demand.parts, now)
+    val tail = demand.parts.lastOrNull()?.tokens ?: 0
+    // All entry VMs send the same part there, so it has probably read the shared parts, or is the place to read them.
+    val uncached = if (isHome) minOf(own, tail) else own
+    val unseen = if (context.isShared) 1 else minOf(context.nodes, LOAD_FACTOR_NODES)
+    val backlog = server.unreadTokens.toDouble() * unseen / PROMPT_TOKENS_PER_SECOND
+    val reading = uncached / PROMPT_TOKENS_PER_SECOND * if (context.isShared) sharedReadingWeight(server) else READING_WEIGHT
+    val batch = server.runningRequests * SECONDS_PER_RUNNING_REQUEST
     val health = server.health.errorRateAt(now) * SECONDS_PER_FAILURE
     val distance = if (server.zone == context.zone) 0.0 else OTHER_ZONE_SECONDS
-    val pool =
+    val division =
         when {
-            isOwnPool(request, server, context) -> 0.0
-            isLong(request) -> LONG_AMONG_SHORT_SECONDS
+            isOwnPool(demand, server, context) -> 0.0
+            isLong(demand.promptTokens) -> LONG_AMONG_SHORT_SECONDS
             else -> SHORT_AMONG_LONG_SECONDS
         }
-    return ServerScore(server, uncached, backlog + reading + batch + health + distance + pool)
+    return ServerScore(server, uncached, backlog + reading + batch + health + distance + division + memory(demand, server, context))
+}
+
+/** Those who wait at the server wait as long again for what this request has to be read there. */
+private fun sharedReadingWeight(server: ServerState): Double =
+    SHARED_READING_WEIGHT + DELAY_WEIGHT * maxOf(0, server.waitingRequests - 1)
+
+/** What waiting for memory costs, or the running answers that the engine would have to interrupt. */
+private fun memory(
+    demand: ServerDemand,
+    server: ServerState,
+    context: ScoreContext,
+): Double {
+    val size = context.engineTokens ?: return 0.0
+    val excess = server.heldTokens + demand.promptTokens + demand.outputTokens - size
+    return if (excess > 0) SECONDS_WITHOUT_MEMORY * (1 + excess.toDouble() / size) else 0.0
 }
 
 // Reading speed of an idle model engine; only the proportion to the other terms matters.
@@ -78,6 +118,12 @@
 // Reading anew what another server holds delays this request and takes capacity from all others.
 private const val READING_WEIGHT = 2.0
 
+// With the whole pool in view a request leaves the server that holds its parts only for a much shorter queue.
+private const val SHARED_READING_WEIGHT = 4.0
+
+// Each request that waits at the server is delayed; most of them would still be in time.
+private const val DELAY_WEIGHT = 2.0
+
 // Each request of a batch slows the others; a full batch of 64 costs about as much as reading one long prompt.
 private const val SECONDS_PER_RUNNING_REQUEST = 0.004
 
@@ -95,3 +141,6 @@
 
 // Own backlog stands for that of the other nodes too, but a single long prompt must not count for a whole large fleet.
 private const val LOAD_FACTOR_NODES = 2
+
+// About the time in which an engine ends one of its requests and has room again.
+private const val SECONDS_WITHOUT_MEMORY = 1.0
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
@@ -2,6 +2,7 @@
 package org.ragwortlever.core.dispatch
 
 import org.ragwortlever.core.backend.KnownServer
+import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.backend.ServerHealth
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -16,13 +17,26 @@
     val number: Int,
 ) {
     var firstByteAt: Instant? = null
+    val unreadTokens: Int get() = if (firstByteAt == null) uncachedTokens else 0
+    val heldTokens: Int get() = request.promptTokens + request.outputTokens
 }
 
+/** What another entry VM does on a server: its open attempts, those that wait for their prompts to be read, their tokens. */
+internal data class OthersShare(
+    val running: Int,
+    val waiting: Int,
+    val unreadTokens: Int,
+    val heldTokens: Int,
+)
+
 internal class ServerState(
     var known: KnownServer,
 ) {
     val health = ServerHealth()
     val running = LinkedHashMap<Long, RunningAttempt>()
+
+    /** What other entry VMs reported, by name; empty unless this VM decides for them. */
+    val others = HashMap<String, OthersShare>()
     private val partsSentAt = LinkedHashMap<String, Instant>()
 
     private var lastHeard = Instant.DISTANT_PAST
@@ -31,8 +45,17 @@
     val id: String get() = known.server.id
     val zone: String get() = known.server.zone
 
-    /** Prompt tokens of this node's requests that the server has probably not read yet. */
-    val unreadTokens: Int get() = running.values.sumOf { if (it.firstByteAt == null) it.uncachedTokens else 0 }
+    /** Prompt tokens that the server has probably not read yet, as far as this VM knows. */
+    val unreadTokens: Int get() = running.values.sumOf { it.unreadTokens } + others.values.sumOf { it.unreadTokens }
+
+    /** Memory that the known requests on the server need, in tokens. */
+    val heldTokens: Int get() = running.values.sumOf { it.heldTokens } + others.values.sumOf { it.heldTokens }
+
+    /** Known requests whose prompts the server has probably not read yet. */
+    val waitingRequests: Int get() = running.values.count { it.firstByteAt == null } + others.values.sumOf { it.waiting }
+
+    /** Known requests on the server. */
+    val runningRequests: Int get() = running.size + others.values.sumOf { it.running }
 
     /** Notes that an attempt with [digest] broke off; the server may have crashed under it. */
     fun brokeOff(
@@ -49,6 +72,18 @@
         return digests
     }
 
+    /**
+     * An attempt has failed. A request that waited in vain says nothing of a server that answers others: it was given
+     * more work than it could do, and avoiding it would only move the queue.
+     */
+    fun failed(
+        failure: ServerFailure,
+        now: Instant,
+    ) {
+        if (failure == ServerFailure.SILENT && now - lastHeard < BUSY_NOT_DEAD) return
+        health.failed(failure, now)
+    }
+
     /** An answer, or a part of one, has arrived. */
     fun heard(now: Instant) {
         lastHeard = now
@@ -70,10 +105,16 @@
         parts: List<PromptPart>,
         now: Instant,
     ): Int {
-        val cached = parts.takeWhile { part -> partsSentAt[part.id]?.let { now - it < PART_LIFETIME } ?: false }
+        val cached = parts.takeWhile { part -> hasRead(part.id, now) }
         return parts.drop(cached.size).sumOf { it.tokens }
     }
 
+    /** Whether the part [id] was sent to the server lately. */
+    fun hasRead(
+        id: String,
+        now: Instant,
+    ): Boolean = partsSentAt[id]?.let { now - it < PART_LIFETIME } ?: false
+
     fun sent(
         parts: List<PromptPart>,
         now: Instant,
@@ -96,6 +137,9 @@
 
         // Engines drop the least recently used parts; under load a part that is not used survives a few tens of seconds.
         val PART_LIFETIME: Duration = 30.seconds
+
+        // Overloaded engines still begin several requests in this time.
+        val BUSY_NOT_DEAD: Duration = 1.seconds
         const val REMEMBERED_PARTS = 1000
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatchFleet.kt
@@ -0,0 +1,128 @@
+// Several dispatchers with the messages between them, in virtual time and without a network.
+package org.ragwortlever.core.dispatch
+
+import org.ragwortlever.core.backend.KnownServer
+import org.ragwortlever.core.backend.server
+import org.ragwortlever.core.route.EngineSize
+import org.ragwortlever.core.route.Route
+import org.ragwortlever.core.route.RouteKind
+import org.ragwortlever.core.route.ServiceDefinition
+import org.ragwortlever.core.route.WeightedService
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Entry VMs `vm-0` and so on before the engines `engine-0` and so on; messages take no time. */
+internal class DispatchFleet(
+    vms: Int,
+    private val engines: Int,
+) {
+    var now = Instant.fromEpochSeconds(1000)
+    val names = List(vms) { "vm-$it" }
+    private val dispatchers = names.associateWith { Dispatcher(DispatchOptions(it, "a")) }
+    private var nextKey = 0L
+
+    /** VMs that answer no question and take no report. */
+    val silent = HashSet<String>()
+
+    /** Questions by the VM that was asked. */
+    val asked = ArrayList<String>()
+    private val due = ArrayList<Pair<String, DispatchEvent>>()
+
+    init {
+        names.forEach { name ->
+            know(name, names.toSet())
+            handle(name, DispatchEvent.ServersChanged(List(engines) { KnownServer(server("engine-$it"), Instant.DISTANT_PAST) }))
+        }
+    }
+
+    /** The VM [name] learns which VMs there are. */
+    fun know(
+        name: String,
+        nodes: Set<String>,
+    ) = handle(name, DispatchEvent.NodesChanged(nodes, nodes.associateWith { 1.0 }))
+
+    fun handle(
+        name: String,
+        event: DispatchEvent,
+    ): List<DispatchEffect> = dispatchers.getValue(name).handle(event, now).flatMap { carryOut(name, it) }
+
+    /** A request at [vm] about [subject]; returns its key and the engine that it was sent to, null when it was refused. */
+    fun submit(
+        vm: String,
+        subject: String = "subject-$nextKey",
+        tokens: Int = 5000,
+        patience: Duration = 5.seconds,
+    ): Pair<Long, String?> {
+        val request = request(subject, tokens, patience)
+        return request.key to sentTo(handle(vm, DispatchEvent.Submit(request)))
+    }
+
+    fun begin(
+        vm: String,
+        key: Long,
+    ) = handle(vm, DispatchEvent.FirstByte(key))
+
+    fun end(
+        vm: String,
+        key: Long,
+    ) = handle(vm, DispatchEvent.AttemptEnded(key, AttemptEnd.Answered))
+
+    /** Lets [time] pass, with the reports that fall due in it. */
+    fun pass(time: Duration) {
+        now += time
+        val events = due.toList()
+        due.clear()
+        events.forEach { (name, event) -> handle(name, event) }
+    }
+
+    fun request(
+        subject: String = "subject",
+        tokens: Int = 5000,
+        patience: Duration = 5.seconds,
+    ): RoutedRequest {
+        val key = ++nextKey
+        val route = Route("route", "host", "/", listOf(WeightedService("engines", 1)), RouteKind.STREAM, patience, 1.seconds)
+        val parts = listOf(PromptPart(subject, tokens), PromptPart("own-$key", 500))
+        return RoutedRequest(key, "request-$key", route, listOf(SERVICE), "account", 1, parts, 100, "", now + patience)
+    }
+
+    fun sentTo(effects: List<DispatchEffect>): String? =
+        effects
+            .filterIsInstance<DispatchEffect.Send>()
+            .singleOrNull()
+            ?.server
+            ?.server
+            ?.id
+
+    private fun carryOut(
+        name: String,
+        effect: DispatchEffect,
+    ): List<DispatchEffect> {
+        when (effect) {
+            is DispatchEffect.Ask -> return ask(name, effect)
+            is DispatchEffect.ScheduleReport -> due += name to DispatchEvent.ReportDue(effect.service)
+            is DispatchEffect.Report -> if (effect.decider !in silent) handle(effect.decider, DispatchEvent.Reported(effect.report))
+            else -> return listOf(effect)
+        }
+        return emptyList()
+    }
+
+    private fun ask(
+        name: String,
+        ask: DispatchEffect.Ask,
+    ): List<DispatchEffect> {
+        asked += ask.decider
+        if (ask.decider in silent) {
+            now += 30.milliseconds
+            return handle(name, DispatchEvent.Advised(ask.key, ask.question.number, null))
+        }
+        val answers = handle(ask.decider, DispatchEvent.Asked(ask.question)).filterIsInstance<DispatchEffect.Answer>()
+        return handle(name, DispatchEvent.Advised(ask.key, ask.question.number, answers.single().answer))
+    }
+
+    companion object {
+        val SERVICE = ServiceDefinition("engines", 100, coldPerSecond = 8.0, engine = EngineSize(64, 200_000))
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/control/ControlLoop.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/control/ControlLoop.kt
@@ -23,6 +23,18 @@
         }
     }
 
+    /** Runs [task] on the control thread after [delay]; after [close] it is dropped. */
+    fun after(
+        delay: Duration,
+        task: () -> Unit,
+    ) {
+        try {
+            executor.schedule({ guarded(task) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        } catch (_: RejectedExecutionException) {
+            logger.debug { eventLine("control-task-dropped") }
+        }
+    }
+
     /** Runs [task] on the control thread every [period], counted from the end of the run before. */
     fun every(
         period: Duration,
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -98,7 +98,8 @@
     private val crashes = CrashReporter(settings.nodeId, ports.store)
     private val registration = NodeRegistration(record, ports.store, { feed.isRelayed }, ::loadToRegister)
     private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.repeatBound()))
-    private val gateway = DispatchGateway(control, dispatcher, clock, ::crashed)
+    private val poolPeers = PoolPeers(peers, { nodes }, ::crashed)
+    private val gateway = DispatchGateway(control, dispatcher, clock, poolPeers)
     private val servers = ServerClient(ports.headers)
     private val follower = FleetFollower(feed, ports.decoder, Listener(), clock::now, log)
 
@@ -185,6 +186,7 @@
         follower.close()
         server.stop()
         servers.close()
+        poolPeers.close()
         control.close()
     }
 
@@ -203,6 +205,9 @@
 
     private fun otherVms(): List<NodeRecord> = nodes.values.filter { it.name != settings.nodeId }
 
+    /** The VMs that can decide for a pool, and what they can bear. */
+    private fun deciders(): Map<String, Double> = nodes.values.filter { it.peers.isNotEmpty() }.associate { it.name to it.capacity }
+
     private fun registeredVms(): List<NodeRecord> = if (status.isReady) otherVms() + record else otherVms()
 
     private fun listeners(): List<HttpListener> {
@@ -214,7 +219,16 @@
         return listOf(callers) + ports.listeners(settings, status) + optional.filterNotNull()
     }
 
-    private fun peerEndpoints() = arrayOf(peerEndpoint(Relay.ROUTE, relay::answer), peerEndpoint(UsageCourier.ROUTE, courier::take))
+    private fun peerEndpoints() =
+        arrayOf(
+            peerEndpoint(Relay.ROUTE, relay::answer),
+            peerEndpoint(UsageCourier.ROUTE, courier::take),
+            peerEndpoint(PoolPeers.QUESTIONS, gateway::answer),
+            peerEndpoint(PoolPeers.REPORTS) { report ->
+                gateway.post(DispatchEvent.Reported(report))
+                ReportTaken
+            },
+        )
 
     private fun metrics(request: Request): Response =
         if (request.uri.path == "/metrics") Response(Status.OK).body(metrics.scrape()) else Response(Status.NOT_FOUND)
@@ -226,7 +240,7 @@
         ) {
             if (FleetChange.NODES in changes) {
                 nodes = view.nodes.toMap()
-                gateway.post(DispatchEvent.NodesChanged(nodes.keys))
+                gateway.post(DispatchEvent.NodesChanged(nodes.keys, deciders()))
             }
             // A request must not find servers before it is known which of them are taken out.
             if (FleetChange.ZONES in changes) {
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/PoolPeers.kt
@@ -0,0 +1,83 @@
+/*
+ * Questions and reports to the entry VMs that decide for pools of backend servers. Reports go out one after another on a
+ * thread of their own; when it falls behind, the oldest is dropped, as each holds everything.
+ */
+package org.ragwortlever.daemon.fleet
+
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.Serializable
+import org.ragwortlever.core.dispatch.DispatchEffect
+import org.ragwortlever.core.dispatch.PoolAnswer
+import org.ragwortlever.core.dispatch.PoolQuestion
+import org.ragwortlever.core.dispatch.PoolReport
+import org.ragwortlever.core.fleet.NodeRecord
+import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.daemon.gateway.DispatchPeers
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A report has arrived. */
+@Serializable
+internal data object ReportTaken
+
+/** @param nodes the entry VMs by name. */
+internal class PoolPeers(
+    private val peers: PeerClient,
+    private val nodes: () -> Map<String, NodeRecord>,
+    private val onCrash: (DispatchEffect.ReportCrash) -> Unit,
+) : DispatchPeers,
+    AutoCloseable {
+    private val reports =
+        ThreadPoolExecutor(
+            1,
+            1,
+            IDLE_SECONDS,
+            TimeUnit.SECONDS,
+            ArrayBlockingQueue(WAITING_REPORTS),
+            { task -> Thread(task, "pool-reports").apply { isDaemon = true } },
+            ThreadPoolExecutor.DiscardOldestPolicy(),
+        ).apply { allowCoreThreadTimeOut(true) }
+
+    override fun ask(
+        decider: String,
+        question: PoolQuestion,
+        timeout: Duration,
+    ): PoolAnswer? {
+        val node = nodes()[decider] ?: return null
+        return peers.ask(node, QUESTIONS, question, timeout).getOrElse { reason ->
+            logger.info { eventLine("decider-silent", "decider" to decider, "question" to question.number, "reason" to reason) }
+            null
+        }
+    }
+
+    override fun report(
+        decider: String,
+        report: PoolReport,
+    ) {
+        val node = nodes()[decider] ?: return
+        reports.execute {
+            peers.ask(node, REPORTS, report, REPORT_TIMEOUT).getOrElse { reason ->
+                logger.debug { eventLine("report-lost", "decider" to decider, "reason" to reason) }
+            }
+        }
+    }
+
+    override fun crashed(crash: DispatchEffect.ReportCrash) = onCrash(crash)
+
+    override fun close() {
+        reports.shutdownNow()
+    }
+
+    companion object {
+        private val logger = KotlinLogging.logger {}
+        val QUESTIONS = PeerRoute("/pool/question", PoolQuestion.serializer(), PoolAnswer.serializer())
+        val REPORTS = PeerRoute("/pool/report", PoolReport.serializer(), ReportTaken.serializer())
+        private val REPORT_TIMEOUT = 100.milliseconds
+        private const val WAITING_REPORTS = 4
+        private const val IDLE_SECONDS = 5L
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/DispatchGateway.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/DispatchGateway.kt
@@ -4,11 +4,19 @@
 import org.ragwortlever.core.dispatch.DispatchEffect
 import org.ragwortlever.core.dispatch.DispatchEvent
 import org.ragwortlever.core.dispatch.Dispatcher
+import org.ragwortlever.core.dispatch.PoolAnswer
+import org.ragwortlever.core.dispatch.PoolQuestion
+import org.ragwortlever.core.dispatch.PoolReport
 import org.ragwortlever.core.dispatch.RoutedRequest
 import org.ragwortlever.daemon.control.ControlLoop
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** A request's place at the dispatcher: its decisions arrive here in order. */
 internal class DispatchTicket(
@@ -21,12 +29,31 @@
     fun decided(decision: DispatchEffect.Decision) = decisions.add(decision)
 }
 
-/** Runs [dispatcher] on [control]; [onCrash] takes what other entry VMs must learn. */
+/** The other entry VMs as the dispatcher needs them. */
+internal interface DispatchPeers {
+    /** The answer of the entry VM [decider]; null when it gives none within [timeout]. Blocks. */
+    fun ask(
+        decider: String,
+        question: PoolQuestion,
+        timeout: Duration,
+    ): PoolAnswer?
+
+    /** Tells the entry VM [decider]; does not block, and what does not arrive is made up for by the next report. */
+    fun report(
+        decider: String,
+        report: PoolReport,
+    )
+
+    /** Tells all other entry VMs of a crash; does not block. */
+    fun crashed(crash: DispatchEffect.ReportCrash)
+}
+
+/** Runs [dispatcher] on [control]. */
 internal class DispatchGateway(
     private val control: ControlLoop,
     private val dispatcher: Dispatcher,
     private val clock: Clock,
-    private val onCrash: (DispatchEffect.ReportCrash) -> Unit,
+    private val peers: DispatchPeers,
 ) {
     private val tickets = ConcurrentHashMap<Long, DispatchTicket>()
 
@@ -37,6 +64,36 @@
         return ticket
     }
 
+    /** The next decision for [ticket]; what another entry VM has to be asked is asked on the calling thread. */
+    fun awaitDecision(ticket: DispatchTicket): DispatchEffect.Settled {
+        while (true) {
+            when (val decision = ticket.awaitDecision()) {
+                is DispatchEffect.Settled -> {
+                    return decision
+                }
+                is DispatchEffect.Ask -> {
+                    val answer = peers.ask(decision.decider, decision.question, ANSWER_TIMEOUT)
+                    post(DispatchEvent.Advised(decision.key, decision.question.number, answer))
+                }
+            }
+        }
+    }
+
+    /** Answers another entry VM's [question]; null when the control thread is too busy for it. */
+    fun answer(question: PoolQuestion): PoolAnswer? {
+        val answer = CompletableFuture<PoolAnswer?>()
+        control.post {
+            val effects = dispatcher.handle(DispatchEvent.Asked(question), clock.now())
+            answer.complete(effects.filterIsInstance<DispatchEffect.Answer>().firstOrNull()?.answer)
+        }
+        return try {
+            answer.get(ANSWER_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            // Nobody waits for it any more.
+            null
+        }
+    }
+
     /** Ends the ticket; the dispatcher forgets what is left of the request. */
     fun release(ticket: DispatchTicket) {
         if (tickets.remove(ticket.request.key) != null) post(DispatchEvent.CallerGone(ticket.request.key))
@@ -47,7 +104,15 @@
     private fun execute(effect: DispatchEffect) {
         when (effect) {
             is DispatchEffect.Decision -> tickets[effect.key]?.decided(effect)
-            is DispatchEffect.ReportCrash -> onCrash(effect)
+            is DispatchEffect.ReportCrash -> peers.crashed(effect)
+            is DispatchEffect.Report -> peers.report(effect.decider, effect.report)
+            is DispatchEffect.ScheduleReport -> control.after(effect.delay) { post(DispatchEvent.ReportDue(effect.service)) }
+            is DispatchEffect.Answer -> Unit
         }
     }
+
+    private companion object {
+        // A round trip inside a region takes a few milliseconds; a request must not wait longer for a VM that is gone.
+        val ANSWER_TIMEOUT = 30.milliseconds
+    }
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedCalls.kt
@@ -144,7 +144,7 @@
         /** Runs attempts until one answers or the dispatcher gives up. */
         fun answer(): Response {
             while (true) {
-                when (val decision = ticket.awaitDecision()) {
+                when (val decision = gateway.awaitDecision(ticket)) {
                     is DispatchEffect.Refuse -> return refused(decision.refusal)
                     is DispatchEffect.Send -> attempt(decision)?.let { return it }
                 }
@@ -182,7 +182,7 @@
         ): Response? {
             val status = base.status.code
             ended(AttemptEnd.Failed(ServerFailure.ERROR), "status $status")
-            val decision = ticket.awaitDecision()
+            val decision = gateway.awaitDecision(ticket)
             if (decision is DispatchEffect.Send) return attempt(decision)
             gateway.release(ticket)
             if (status in NOT_RUN_STATUSES) return refused(MAY_HAVE_RUN)
@@ -309,7 +309,7 @@
             val canResume = request.route.isResumable && !isCallerGone && (lastEventId != null || !hasSentHead)
             ended(AttemptEnd.Failed(failure.kind(), canResume), "the stream broke off after event $lastEventId: $failure")
             while (true) {
-                val decision = ticket.awaitDecision()
+                val decision = gateway.awaitDecision(ticket)
                 if (decision !is DispatchEffect.Send) {
                     ticket.decided(decision)
                     return null
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedWorld.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedWorld.kt
@@ -7,9 +7,13 @@
 import okhttp3.Response
 import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.backend.KnownServer
+import org.ragwortlever.core.dispatch.DispatchEffect
 import org.ragwortlever.core.dispatch.DispatchEvent
 import org.ragwortlever.core.dispatch.DispatchOptions
 import org.ragwortlever.core.dispatch.Dispatcher
+import org.ragwortlever.core.dispatch.PoolAnswer
+import org.ragwortlever.core.dispatch.PoolQuestion
+import org.ragwortlever.core.dispatch.PoolReport
 import org.ragwortlever.core.route.AccountDefinition
 import org.ragwortlever.core.route.Route
 import org.ragwortlever.core.route.RouteKind
@@ -30,7 +34,7 @@
 
 internal class RoutedWorld : AutoCloseable {
     private val control = ControlLoop()
-    private val gateway = DispatchGateway(control, Dispatcher(DispatchOptions("vm-1", "a")), Clock.System) { }
+    private val gateway = DispatchGateway(control, Dispatcher(DispatchOptions("vm-1", "a")), Clock.System, NoPeers)
     private val names = RoutedHeaders()
     private val serverClient = ServerClient(names)
     private val servers = ArrayList<ScriptedServer>()
@@ -110,6 +114,21 @@
         servers.forEach { it.close() }
     }
 
+    private object NoPeers : DispatchPeers {
+        override fun ask(
+            decider: String,
+            question: PoolQuestion,
+            timeout: Duration,
+        ): PoolAnswer? = null
+
+        override fun report(
+            decider: String,
+            report: PoolReport,
+        ) = Unit
+
+        override fun crashed(crash: DispatchEffect.ReportCrash) = Unit
+    }
+
     private fun route(
         prefix: String,
         kind: RouteKind,
