Keep the servers of a new fleet until there is a load to judge them by

Change: until a load is seen, what runs counts as needed (the larger kind of a zone while one replaces the other), and is then held as any peak. Ruled out: the choice of engines (the decider had sent evenly); a higher floor, which would not know a site's size.

--- a/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/scaling/ScalingPolicy.kt
@@ -43,6 +43,9 @@
     private val spotRefusedAt = HashMap<String, Instant>()
     private var ordered = emptyMap<String, ZoneServers>()
 
+    /** Whether a load was seen, from which the need is known. */
+    private var hasJudged = false
+
     /** The platform has no spot server for [zone] at the moment. */
     fun spotUnavailable(
         zone: String,
@@ -65,10 +68,9 @@
     ): Map<String, ZoneServers> {
         running.filter { (zone, servers) -> isReclaimed(zone, servers) }.forEach { (zone, _) -> spotUnavailable(zone, now) }
         val need = needed(load)
-        // Whoever takes the orders over begins with what runs, as the need of the last while is not known.
-        val total = longPeak.note(need, now, atFirst = running.values.sumOf { it.total })
+        val total = longPeak.note(maxOf(need, runningUntilJudged(load, running)), now)
         val leastNeed = neededAtLeast(load)
-        val recent = shortPeak.note(leastNeed, now, atFirst = leastNeed)
+        val recent = shortPeak.note(leastNeed, now)
         // Half of the held peak stays, as a burst may come back while the kinds change.
         val spare = (running.values.sumOf { it.ordinary + it.warmSpot } - maxOf(need, total / 2)) / zones.size
         val (withoutSpot, usual) = zones.sortedBy { range.zonePrices[it] ?: 1.0 }.partition { lacksSpot(range, it, now) }
@@ -80,6 +82,20 @@
         return ordered
     }
 
+    /**
+     * What runs, until there is a load to judge it by: servers of a new fleet become known one after another, and their
+     * number is all that tells what the first callers will need. Whoever takes the orders over begins with it, too.
+     * While one kind replaces the other in a zone, only the larger of them counts.
+     */
+    private fun runningUntilJudged(
+        load: ServiceLoad,
+        running: Map<String, RunningServers>,
+    ): Int {
+        if (hasJudged) return 0
+        hasJudged = load.running > 0 || load.readSeconds > 0
+        return running.values.sumOf { maxOf(it.ordinary, it.spot) }
+    }
+
     private fun lacksSpot(
         range: ScalingRange,
         zone: String,
@@ -174,9 +190,7 @@
     fun note(
         need: Int,
         now: Instant,
-        atFirst: Int,
     ): Int {
-        if (at == Instant.DISTANT_PAST) set(atFirst, now)
         if (need >= peak || now - at > time) set(need, now)
         return peak
     }
--- a/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/scaling/ScalingPolicyTest.kt
@@ -130,6 +130,30 @@
         expectThat(desired(idle, RunningServers(0, 4)).values.sumOf { it.total }).isEqualTo(12)
     }
 
+    /** Pattern: a large fleet starts, its servers become known one after another, and the first callers come as a burst. */
+    @Test
+    fun `given servers that become known before there is any load, then as many spot servers stay until the load can be judged`() {
+        val large = range.copy(maximum = 22)
+        var running = RunningServers(0, 0)
+
+        fun step(
+            seconds: Int,
+            load: ServiceLoad = idle,
+        ) = policy.desired(large, load, zones, zones.associateWith { running }, start + seconds.seconds).getValue("a")
+        running = RunningServers(1, 0)
+        step(seconds = 0)
+        running = RunningServers(11, 0)
+        expectThat(step(seconds = 1)).isEqualTo(ZoneServers(11, 11))
+        running = RunningServers(11, 11)
+        expectThat(step(seconds = 9)).isEqualTo(ZoneServers(0, 11))
+        running = RunningServers(0, 11)
+        expectThat(step(seconds = 120)).isEqualTo(ZoneServers(0, 11))
+        val light = ServiceLoad(readSeconds = 0.2, running = 3)
+        expectThat(step(seconds = 121, load = light)).isEqualTo(ZoneServers(0, 11))
+        expectThat(step(seconds = 130, load = light)).isEqualTo(ZoneServers(0, 11))
+        expectThat(step(seconds = 150, load = light)).isEqualTo(ZoneServers(0, 3))
+    }
+
     @Test
     fun `given any load, then a zone never gets more than its maximum of both kinds together`() {
         for (ordinary in 0..4) {
