--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -119,11 +119,17 @@
     private var announced: List<BackendServer> = emptyList()
     private val duties: FleetDuties? =
         ports.duties?.let {
-            FleetDuties(settings.nodeId, settings.bounds, ports.store, it, clock, SuspendAwareClock(), ::fleetState, {
-                nodes.size
-            }) { flush ->
-                courier.handOver(flush)
-            }
+            FleetDuties(
+                node = settings.nodeId,
+                bounds = settings.bounds,
+                store = ports.store,
+                ports = it,
+                clock = clock,
+                leaseClock = SuspendAwareClock(),
+                fleet = ::fleetState,
+                nodes = { nodes.size },
+                handOver = { flush -> courier.handOver(flush) },
+            )
         }
     private val courier: UsageCourier =
         UsageCourier(settings.nodeId, peers, ::otherVms) { flush -> duties?.usage?.write(flush) }
