Read the sent server from effects in one place of the dispatch tests

Change: one extension beside refusal() serves both; no assertion and no code outside the tests changes. Ruled out: merging the two worlds, since one plays a single dispatcher and the other the messages between several.

--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatchFleet.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatchFleet.kt
@@ -88,13 +88,7 @@
         return RoutedRequest(key, "request-$key", route, listOf(SERVICE), "account", 1, parts, 100, "", now + patience)
     }
 
-    fun sentTo(effects: List<DispatchEffect>): String? =
-        effects
-            .filterIsInstance<DispatchEffect.Send>()
-            .singleOrNull()
-            ?.server
-            ?.server
-            ?.id
+    fun sentTo(effects: List<DispatchEffect>): String? = effects.sentTo()
 
     private fun carryOut(
         name: String,
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatchWorld.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatchWorld.kt
@@ -57,13 +57,15 @@
         end: AttemptEnd,
     ): String? = sentTo(handle(DispatchEvent.AttemptEnded(request.key, end)))
 
-    fun sentTo(effects: List<DispatchEffect>): String? =
-        effects
-            .filterIsInstance<DispatchEffect.Send>()
-            .singleOrNull()
-            ?.server
-            ?.server
-            ?.id
+    fun sentTo(effects: List<DispatchEffect>): String? = effects.sentTo()
 }
 
 internal fun List<DispatchEffect>.refusal() = filterIsInstance<DispatchEffect.Refuse>().single().refusal
+
+/** The id of the server that the one request in these effects was sent to, or null when none was sent. */
+internal fun List<DispatchEffect>.sentTo(): String? =
+    filterIsInstance<DispatchEffect.Send>()
+        .singleOrNull()
+        ?.server
+        ?.server
+        ?.id
