--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
@@ -32,15 +32,26 @@
     ): BufferedSource?
 }
 
+/**
+ * What was read of a stream that has ended.
+ *
+ * @property unfinishedBytes bytes after the last complete event.
+ */
+internal data class StreamTotals(
+    val bytes: Long,
+    val unfinishedBytes: Long,
+)
+
 /** The stream that the caller reads. Not thread-safe. */
 internal class ForwardedEventStream(
     first: BufferedSource,
     private val route: Route,
     private val source: StreamSource,
-    private val onEnd: () -> Unit,
+    private val onEnd: (StreamTotals) -> Unit,
 ) : ChunkStream() {
     private var events = first
     private val pending = Buffer()
+    private var bytesRead = 0L
 
     /** Number of bytes at the start of [pending] that are known to contain no end of an event. */
     private var searchedBytes = 0L
@@ -88,6 +99,7 @@
             try {
                 val count = events.read(pending, READ_BYTES)
                 if (count < 0) return complete()
+                bytesRead += count
                 takeCompleteEvents()?.let { return it }
             } catch (failure: IOException) {
                 pending.clear()
@@ -100,7 +112,7 @@
     private fun complete(): ByteArray? {
         isEnded = true
         source.onCompleted()
-        onEnd()
+        onEnd(StreamTotals(bytesRead, unfinishedBytes = pending.size))
         return if (pending.size == 0L) null else pending.readByteArray()
     }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -15,6 +15,7 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.ragwortlever.core.answer.AnswerFraming
 import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.backend.RequestLimit
 import org.ragwortlever.core.backend.ServerFailure
@@ -214,8 +215,10 @@
             started: AttemptStart.ResponseStarted,
             timeToFirstByte: Duration,
         ): Response? {
+            val framing = started.response.framing
             val events =
-                ForwardedEventStream(started.response.body.source(), request.route, this) {
+                ForwardedEventStream(started.response.body.source(), request.route, this) { totals ->
+                    logStreamEnd(framing, totals)
                     recordResponse(base, base.status.code, timeToFirstByte)
                 }
             // The response head is sent with the first event, so that a server that fails before it can still be replaced.
@@ -223,6 +226,19 @@
             return base.body(Body(events, null))
         }
 
+        private fun logStreamEnd(
+            framing: AnswerFraming,
+            totals: StreamTotals,
+        ) = logger.info {
+            eventLine(
+                "stream-ended",
+                "request" to request.id,
+                "framing" to framing.label,
+                "bytes" to totals.bytes,
+                "unfinished-bytes" to totals.unfinishedBytes,
+            )
+        }
+
         /** Ends the attempt and the request with [response], unless its [status] would promise that the request did not run. */
         private fun finish(
             response: Response,
