End a stream as broken off when its body ends within an event

Cause: the forwarded stream took the end of the body for the end of the stream and passed on what was left of the last event; an answer without length and chunks ends alike whether the server is done or has broken off. Now EventBuffer splits the bytes into events, with any mixture of line ends, and a body that ends within an event is a failure of the attempt like a reset: the stream is resumed where the route allows it, replaced by another server's answer if nothing was passed on, and otherwise the caller's connection is cut.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
@@ -4,11 +4,8 @@
  */
 package org.ragwortlever.daemon.gateway
 
-import okio.Buffer
 import okio.BufferedSource
-import okio.ByteString
-import okio.ByteString.Companion.encodeUtf8
-import org.ragwortlever.core.route.Route
+import org.ragwortlever.core.answer.EventBuffer
 import org.ragwortlever.http.ChunkStream
 import java.io.IOException
 
@@ -35,26 +32,27 @@
 /**
  * What was read of a stream that has ended.
  *
- * @property unfinishedBytes bytes after the last complete event.
+ * @property events number of complete events.
  */
 internal data class StreamTotals(
     val bytes: Long,
-    val unfinishedBytes: Long,
+    val events: Int,
 )
 
+/** A stream ended although its last event is incomplete, so its server has broken it off. */
+internal class PartialEventException : IOException("the stream ended within an event")
+
 /** The stream that the caller reads. Not thread-safe. */
 internal class ForwardedEventStream(
     first: BufferedSource,
-    private val route: Route,
     private val source: StreamSource,
     private val onEnd: (StreamTotals) -> Unit,
 ) : ChunkStream() {
     private var events = first
-    private val pending = Buffer()
-    private var bytesRead = 0L
-
-    /** Number of bytes at the start of [pending] that are known to contain no end of an event. */
-    private var searchedBytes = 0L
+    private var buffer = EventBuffer()
+    private val chunk = ByteArray(READ_BYTES)
+    private var forwardedBytes = 0L
+    private var forwardedEvents = 0
     private var lastEventId: String? = null
     private var prefetched: ByteArray? = null
     private var hasSentHead = false
@@ -97,57 +95,38 @@
     private fun readEvents(): ByteArray? {
         while (true) {
             try {
-                val count = events.read(pending, READ_BYTES)
+                val count = events.read(chunk)
                 if (count < 0) return complete()
-                bytesRead += count
-                takeCompleteEvents()?.let { return it }
+                takeCompleteEvents(count)?.let { return it }
             } catch (failure: IOException) {
-                pending.clear()
-                searchedBytes = 0
+                buffer = EventBuffer()
                 events = source.resume(failure, lastEventId, hasSentHead) ?: throw failure.also { isEnded = true }
             }
         }
     }
 
+    /** Ends the stream, whose body has ended by its framing. */
     private fun complete(): ByteArray? {
+        if (buffer.hasPartialEvent) throw PartialEventException()
         isEnded = true
         source.onCompleted()
-        onEnd(StreamTotals(bytesRead, unfinishedBytes = pending.size))
-        return if (pending.size == 0L) null else pending.readByteArray()
+        onEnd(StreamTotals(forwardedBytes, forwardedEvents))
+        return null
     }
 
-    /** Removes the complete events from [pending]; null if there are none. Skips bytes that an earlier call has searched. */
-    private fun takeCompleteEvents(): ByteArray? {
-        val end = maxOf(findEndOfLast(EVENT_END), findEndOfLast(EVENT_END_CRLF))
-        searchedBytes = maxOf(0, pending.size - end - EVENT_END_CRLF.size)
-        if (end == 0L) {
-            if (pending.size > MAX_EVENT_BYTES) throw AnswerTooLongException("an event exceeds the limit of $MAX_EVENT_BYTES bytes")
+    private fun takeCompleteEvents(count: Int): ByteArray? {
+        val complete = buffer.append(chunk, count)
+        if (complete == null) {
+            if (buffer.size > MAX_EVENT_BYTES) throw AnswerTooLongException("an event exceeds the limit of $MAX_EVENT_BYTES bytes")
             return null
         }
-        val whole = pending.readByteArray(end)
-        if (route.isResumable) findLastEventId(whole)?.let { lastEventId = it }
-        return whole
+        complete.ids.lastOrNull()?.let { lastEventId = it }
+        forwardedBytes += complete.bytes.size
+        forwardedEvents += complete.count
+        return complete.bytes
     }
 
-    /** Returns the offset after the last [mark] in the bytes that have not been searched yet; 0 if there is none. */
-    private fun findEndOfLast(mark: ByteString): Long =
-        generateSequence(pending.indexOf(mark, searchedBytes)) { pending.indexOf(mark, it + mark.size) }
-            .takeWhile { it >= 0 }
-            .lastOrNull()
-            ?.plus(mark.size) ?: 0
-
     private companion object {
-        const val READ_BYTES = 8192L
-        val EVENT_END = "\n\n".encodeUtf8()
-        val EVENT_END_CRLF = "\r\n\r\n".encodeUtf8()
+        const val READ_BYTES = 8192
     }
 }
-
-/** Returns the value of the last `id` field in [events]; null if there is none. */
-private fun findLastEventId(events: ByteArray): String? =
-    String(events)
-        .lineSequence()
-        .filter { it.startsWith("id:") }
-        .lastOrNull()
-        ?.removePrefix("id:")
-        ?.trim()
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -217,7 +217,7 @@
         ): Response? {
             val framing = started.response.framing
             val events =
-                ForwardedEventStream(started.response.body.source(), request.route, this) { totals ->
+                ForwardedEventStream(started.response.body.source(), this) { totals ->
                     logStreamEnd(framing, totals)
                     recordResponse(base, base.status.code, timeToFirstByte)
                 }
@@ -235,7 +235,7 @@
                 "request" to request.id,
                 "framing" to framing.label,
                 "bytes" to totals.bytes,
-                "unfinished-bytes" to totals.unfinishedBytes,
+                "events" to totals.events,
             )
         }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/BrokenStreamKnownRed.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/BrokenStreamTest.kt
@@ -9,7 +9,7 @@
 import java.io.IOException
 import java.net.Socket
 
-class BrokenStreamKnownRed {
+class BrokenStreamTest {
     private val fixture = RoutedRequestFixture()
 
     @AfterEach
