Believe a refusal only if it is the answer to this request

What callers saw: a faulty server wrote an earlier refusal once more on a kept connection, and the caller of a request that the server was running was told 'not run, try again' (REFUSED), or the request was sent to a second server (TWICE). Cause: ServerClient took Not-Run and 421 at their word before it compared the request's id, and applied the pause or limit of any answer. Now the id is compared first. An answer without an id is one of a server that rejected a request unread; it counts only on the first exchange of a connection, where no earlier request can have caused it. Notices are taken from answers to this request alone, and never from a 421, which another server wrote.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerCall.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerCall.kt
@@ -23,6 +23,10 @@
     @Volatile
     private var canceled = false
 
+    /** Whether the request was the first one on its connection; known once [execute] has returned. */
+    var isFirstOnConnection: Boolean = false
+        private set
+
     /**
      * Sends the request and waits for the response's headers.
      *
@@ -38,7 +42,7 @@
             call = next
             if (canceled) next.cancel()
             try {
-                return tracker.track { next.execute() }
+                return tracker.track { next.execute() }.also { isFirstOnConnection = tracker.isFirstOnConnection }
             } catch (failure: IOException) {
                 if (failure.cause !is StaleConnectionException || ++staleConnections > MAX_STALE_CONNECTIONS) throw failure
             }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -126,34 +126,37 @@
             } catch (failure: IOException) {
                 return AttemptStart.Ended(AttemptEnd.Failed(failure.toServerFailure()), failure.toString())
             }
-        val notice = readNotice(response)
-        val invalid = checkResponse(response, requestId) ?: return AttemptStart.ResponseStarted(response, notice)
+        val rejected = checkResponse(response, requestId, attempt.isFirstOnConnection)
+        if (rejected == null) return AttemptStart.ResponseStarted(response, readNotice(response))
         response.close()
         attempt.cancel()
-        return AttemptStart.Ended(invalid.end, invalid.detail, notice)
+        return rejected
     }
 
     override fun close() {
         client.connectionPool.evictAll()
     }
 
-    /** Returns why [response] must not be forwarded; null if it is valid. */
+    /**
+     * Returns why [response] must not be forwarded; null if it is valid.
+     *
+     * A refusal counts only if it is this request's. A server repeats the id unless it rejects a request unread, so an
+     * answer without an id counts only if no earlier request on the connection can have caused it.
+     */
     private fun checkResponse(
         response: Response,
         requestId: String,
+        isFirstOnConnection: Boolean,
     ): AttemptStart.Ended? {
-        if (response.code ==
-            MISDIRECTED_STATUS
-        ) {
+        val answers = response.header(headerNames.requestId)
+        if (answers != null && answers != requestId) return invalidResponse("the response belongs to request $answers")
+        if (answers == null && !isFirstOnConnection) return invalidResponse("the response has no request id, on a reused connection")
+        if (response.code == MISDIRECTED_STATUS) {
             return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.REPLACED), "another server uses the address")
         }
-        if (response.header(headerNames.notRun) !=
-            null
-        ) {
-            return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.BUSY), "status ${response.code}")
+        if (response.header(headerNames.notRun) != null) {
+            return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.BUSY), "status ${response.code}", readNotice(response))
         }
-        val answers = response.header(headerNames.requestId)
-        if (answers != null && answers != requestId) return invalidResponse("the response belongs to request $answers")
         if (response.header("Content-Encoding") != null) return invalidResponse("the response has a Content-Encoding")
         if (response.isSuccessful && response.header(headerNames.signature) == null) return invalidResponse("the response is not signed")
         if (response.isSuccessful && answers == null) return invalidResponse("the response has no request id")
--- a/http/src/main/kotlin/org/ragwortlever/http/SendTracker.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/SendTracker.kt
@@ -1,4 +1,4 @@
-// Tracks whether any byte of an OkHttp request may have been sent, which the exception of a failed call does not tell.
+// Tracks what an OkHttp call does not tell: whether any byte may have been sent, and whether on a new connection.
 package org.ragwortlever.http
 
 import okhttp3.Call
@@ -6,19 +6,26 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Proxy
 
 /** An exchange failed before any byte of its request was sent, so the server has not seen the request. */
 class NotSentException(
     cause: IOException,
 ) : IOException(cause.message ?: cause.javaClass.simpleName, cause)
 
-/** Records when the sending of one request starts. Works only with clients that were built with [trackSends]. */
+/** Records on what connection and when the sending of one request starts. Works only with clients that were built with [trackSends]. */
 class SendTracker {
     /** Whether any byte of the request may have been sent. */
     @Volatile
     var mayHaveBeenSent: Boolean = false
         private set
 
+    /** Whether the request was the first one on its connection, so that an answer on it can't belong to an earlier request. */
+    @Volatile
+    var isFirstOnConnection: Boolean = false
+        private set
+
     /** Returns a copy of [request] with this tracker attached. */
     fun attachTo(request: Request): Request = request.newBuilder().tag(SendTracker::class.java, this).build()
 
@@ -36,6 +43,10 @@
             throw NotSentException(failure)
         }
 
+    internal fun recordConnect() {
+        isFirstOnConnection = true
+    }
+
     internal fun recordSendStart() {
         mayHaveBeenSent = true
     }
@@ -49,6 +60,14 @@
 ) : EventListener() {
     private val tracker = call.request().tag(SendTracker::class.java)
 
+    override fun connectStart(
+        call: Call,
+        inetSocketAddress: InetSocketAddress,
+        proxy: Proxy,
+    ) {
+        tracker?.recordConnect()
+    }
+
     override fun requestHeadersStart(call: Call) {
         tracker?.recordSendStart()
     }
