--- a/http/src/test/kotlin/org/ragwortlever/http/RequestFramingTest.kt
+++ b/http/src/test/kotlin/org/ragwortlever/http/BodyFramingTest.kt
@@ -5,7 +5,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 
-class RequestFramingTest {
+class BodyFramingTest {
     @Test
     fun `given at most one length or only chunked encoding, when the framing is checked, then it is unambiguous`() {
         expectThat(isFramingAmbiguous(emptyList(), emptyList())).isFalse()
