Continue a stream only with the events that follow its last one

Cause: a resumption took any 2xx as the rest of the stream, whatever its type and whatever events it held, and a stream that had broken off before its first event was resumed although its head was the failed server's. Now a continuation is a 200 with an event stream whose first event has an id that follows the last one, ids rise within a stream, and a gap at the seam is no larger than the gaps before it. A stream that fails before its first event is a failed attempt like any other: the next answer comes with its own head. An answer on a stream route that is no event stream is buffered as a plain one. A stream that nobody continues is logged as stream-broken-off and counted; before, its entry in the table of submitted requests was never removed.

--- a/core/src/main/kotlin/org/ragwortlever/core/answer/EventBuffer.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/answer/EventBuffer.kt
@@ -8,13 +8,11 @@
  * Complete events of a stream.
  *
  * @property bytes the events and the empty lines between them, as the server sent them.
- * @property count number of the events.
- * @property ids values of the events' `id` fields, in order; events without one are left out.
+ * @property ids values of the events' `id` fields, in order; null for an event without one.
  */
 class CompleteEvents(
     val bytes: ByteArray,
-    val count: Int,
-    val ids: List<String>,
+    val ids: List<String?>,
 )
 
 /** Holds back the bytes after the last complete event of a stream. Not thread-safe. */
@@ -45,23 +43,21 @@
         if (size + count > bytes.size) bytes = bytes.copyOf(maxOf(size + count, 2 * bytes.size))
         source.copyInto(bytes, size, 0, count)
         size += count
-        val ids = ArrayList<String>()
-        var events = 0
+        val ids = ArrayList<String?>()
         var end = 0
         while (true) {
             val lineEnd = findLineEnd() ?: break
             if (lineEnd > lineStart) {
                 examineField(lineEnd)
             } else {
-                if (hasFields) events++
-                eventId?.let { ids += it }
+                if (hasFields) ids += eventId
                 hasFields = false
                 eventId = null
                 end = position
             }
             lineStart = position
         }
-        return if (end == 0) null else CompleteEvents(take(end), events, ids)
+        return if (end == 0) null else CompleteEvents(take(end), ids)
     }
 
     /** Moves [position] behind the next line end and returns the end of the line before it; null if there is none yet. */
--- a/core/src/test/kotlin/org/ragwortlever/core/answer/EventBufferTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/answer/EventBufferTest.kt
@@ -27,7 +27,6 @@
                 val events = buffer.appendInParts(stream.text, parts)
                 expectThat(events.joinToString("") { String(it.bytes) }).isEqualTo(stream.text)
                 expectThat(events.flatMap { it.ids }).isEqualTo(stream.ids)
-                expectThat(events.sumOf { it.count }).isEqualTo(stream.ids.size)
                 expectThat(buffer.hasPartialEvent).isFalse()
             }
         }
@@ -49,7 +48,7 @@
     @Test
     fun `given line ends between two events, when the stream ends after them, then it is not within an event`() {
         val buffer = EventBuffer()
-        expectThat(buffer.appendText("data: a\n\n\r\n\n")?.count).isEqualTo(1)
+        expectThat(buffer.appendText("data: a\n\n\r\n\n")?.ids).isEqualTo(listOf(null))
         expectThat(buffer.hasPartialEvent).isFalse()
         buffer.appendText(": comment\n")
         expectThat(buffer.hasPartialEvent).isTrue()
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
@@ -6,13 +6,17 @@
 
 import okio.BufferedSource
 import org.ragwortlever.core.answer.EventBuffer
+import org.ragwortlever.core.answer.EventSequence
 import org.ragwortlever.http.ChunkStream
 import java.io.IOException
 
 /** Supplies a stream that resumes after a failure and is notified of the stream's end. */
 internal interface StreamSource {
-    /** The server ended the stream regularly. */
-    fun onCompleted()
+    /** The stream has reached its end; [totals] is what was passed on. */
+    fun onCompleted(totals: StreamTotals)
+
+    /** The stream has failed after [totals] were passed on, and no other server continues it. */
+    fun onBrokenOff(totals: StreamTotals)
 
     /** The caller closed the stream before its end. */
     fun onAbandoned()
@@ -20,20 +24,15 @@
     /**
      * Returns the stream of another server that resumes after the event [lastEventId], or null if there is none.
      *
-     * @param hasSentHead whether the head of the response may already be on its way to the caller.
+     * @param lastEventId null if no event had an id.
      */
     fun resume(
         failure: IOException,
         lastEventId: String?,
-        hasSentHead: Boolean,
     ): BufferedSource?
 }
 
-/**
- * What was read of a stream that has ended.
- *
- * @property events number of complete events.
- */
+/** What was passed on of a stream: [events] complete events of together [bytes] bytes. */
 internal data class StreamTotals(
     val bytes: Long,
     val events: Int,
@@ -42,36 +41,36 @@
 /** A stream ended although its last event is incomplete, so its server has broken it off. */
 internal class PartialEventException : IOException("the stream ended within an event")
 
+/** The events of a stream do not follow each other; its server is faulty or did not continue where it was asked to. */
+internal class EventOrderException(
+    reason: String,
+) : IOException(reason)
+
 /** The stream that the caller reads. Not thread-safe. */
 internal class ForwardedEventStream(
     first: BufferedSource,
     private val source: StreamSource,
-    private val onEnd: (StreamTotals) -> Unit,
 ) : ChunkStream() {
     private var events = first
     private var buffer = EventBuffer()
     private val chunk = ByteArray(READ_BYTES)
     private var forwardedBytes = 0L
     private var forwardedEvents = 0
-    private var lastEventId: String? = null
+    private val sequence = EventSequence()
     private var prefetched: ByteArray? = null
     private var hasSentHead = false
     private var isEnded = false
+    private val totals get() = StreamTotals(forwardedBytes, forwardedEvents)
 
     /**
      * Reads the first events, before the head of the response is sent.
      *
-     * @return false if the stream failed and can't be resumed; [StreamSource.resume] has then queued the final decision again.
+     * @throws IOException if the stream failed before its first event was complete; it is not resumed then, because
+     *   another server's answer has a head of its own.
      */
-    fun prefetch(): Boolean {
-        prefetched =
-            try {
-                readEvents()
-            } catch (_: IOException) {
-                return false
-            }
+    fun prefetch() {
+        prefetched = readEvents()
         hasSentHead = true
-        return true
     }
 
     override fun nextChunk(): ByteArray? {
@@ -99,8 +98,10 @@
                 if (count < 0) return complete()
                 takeCompleteEvents(count)?.let { return it }
             } catch (failure: IOException) {
+                if (!hasSentHead) throw failure.also { isEnded = true }
                 buffer = EventBuffer()
-                events = source.resume(failure, lastEventId, hasSentHead) ?: throw failure.also { isEnded = true }
+                sequence.continueFromOtherServer()
+                events = source.resume(failure, sequence.lastId) ?: throw failure.also { breakOff() }
             }
         }
     }
@@ -109,20 +110,24 @@
     private fun complete(): ByteArray? {
         if (buffer.hasPartialEvent) throw PartialEventException()
         isEnded = true
-        source.onCompleted()
-        onEnd(StreamTotals(forwardedBytes, forwardedEvents))
+        source.onCompleted(totals)
         return null
     }
 
+    private fun breakOff() {
+        isEnded = true
+        source.onBrokenOff(totals)
+    }
+
     private fun takeCompleteEvents(count: Int): ByteArray? {
         val complete = buffer.append(chunk, count)
         if (complete == null) {
             if (buffer.size > MAX_EVENT_BYTES) throw AnswerTooLongException("an event exceeds the limit of $MAX_EVENT_BYTES bytes")
             return null
         }
-        complete.ids.lastOrNull()?.let { lastEventId = it }
+        sequence.append(complete.ids)?.let { throw EventOrderException(it) }
         forwardedBytes += complete.bytes.size
-        forwardedEvents += complete.count
+        forwardedEvents += complete.ids.size
         return complete.bytes
     }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -11,11 +11,11 @@
 import com.github.michaelbull.result.binding
 import com.github.michaelbull.result.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
+import okio.BufferedSource
 import org.http4k.core.Body
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import org.ragwortlever.core.answer.AnswerFraming
 import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.backend.RequestLimit
 import org.ragwortlever.core.backend.ServerFailure
@@ -27,6 +27,7 @@
 import org.ragwortlever.core.error.ErrorKind
 import org.ragwortlever.core.error.Executed
 import org.ragwortlever.core.error.Refusal
+import org.ragwortlever.core.error.answer
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.route.AnswerTimes
 import org.ragwortlever.core.route.RouteKind
@@ -40,26 +41,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/** Receives events of requests for usage records and metrics. Called from traffic threads. */
-interface RequestObserver {
-    /** A backend server has started to respond to a request of [account]; called once per request. */
-    fun onStarted(account: String?)
-
-    /**
-     * The response to a request on [route] is complete.
-     *
-     * @param route name of the route; empty if the request was refused before a route was found.
-     * @param timeToFirstByte time from the request's arrival to the response's first byte.
-     * @param duration time from the request's arrival to the response's end.
-     */
-    fun onResponse(
-        route: String,
-        status: Int,
-        timeToFirstByte: Duration,
-        duration: Duration,
-    )
-}
-
 /**
  * Handles the requests on the routes of [table].
  *
@@ -141,7 +122,7 @@
         private val prepared: PreparedRequest,
         private val arrival: Instant,
         private val isCallerConnectionClosed: () -> Boolean,
-    ) : StreamSource {
+    ) {
         private val request = prepared.request
         private val submitted = gateway.submit(request)
 
@@ -183,7 +164,7 @@
             val response = started.response
             val headers = headerNames.filterResponseHeaders(response.headers.map { (name, value) -> name to value })
             val base = Response(Status(response.code, response.message)).headers(headers).withConnectionClose()
-            if (request.route.kind == RouteKind.STREAM && response.isSuccessful) return streamResponse(base, started, timeToFirstByte)
+            if (request.route.kind == RouteKind.STREAM && response.isEventStream) return streamResponse(base, started, timeToFirstByte)
             val content =
                 try {
                     response.body.readBytesUpTo(MAX_ANSWER_BYTES)
@@ -207,7 +188,8 @@
             if (decision is DispatchEffect.Send) return runAttempt(decision)
             gateway.release(submitted)
             if (status in NOT_RUN_STATUSES) return refuse(MAY_HAVE_RUN)
-            return recordResponse(base.body(Body(content.inputStream(), content.size.toLong())), status, now() - arrival)
+            recordResponse(status, now() - arrival)
+            return base.body(Body(content.inputStream(), content.size.toLong()))
         }
 
         private fun streamResponse(
@@ -215,30 +197,18 @@
             started: AttemptStart.ResponseStarted,
             timeToFirstByte: Duration,
         ): Response? {
-            val framing = started.response.framing
-            val events =
-                ForwardedEventStream(started.response.body.source(), this) { totals ->
-                    logStreamEnd(framing, totals)
-                    recordResponse(base, base.status.code, timeToFirstByte)
-                }
+            val events = ForwardedEventStream(started.response.body.source(), RoutedStream(base.status.code, started, timeToFirstByte))
             // The response head is sent with the first event, so that a server that fails before it can still be replaced.
-            if (!events.prefetch()) return null
+            try {
+                events.prefetch()
+            } catch (failure: IOException) {
+                call?.cancel()
+                reportAttemptEnd(AttemptEnd.Failed(failure.toServerFailure()), "the stream failed before its first event: $failure")
+                return null
+            }
             return base.body(Body(events, null))
         }
 
-        private fun logStreamEnd(
-            framing: AnswerFraming,
-            totals: StreamTotals,
-        ) = logger.info {
-            eventLine(
-                "stream-ended",
-                "request" to request.id,
-                "framing" to framing.label,
-                "bytes" to totals.bytes,
-                "events" to totals.events,
-            )
-        }
-
         /** Ends the attempt and the request with [response], unless its [status] would promise that the request did not run. */
         private fun finish(
             response: Response,
@@ -250,15 +220,15 @@
             gateway.post(DispatchEvent.AttemptEnded(request.key, end))
             gateway.release(submitted)
             if (status in NOT_RUN_STATUSES) return refuse(MAY_HAVE_RUN)
-            return recordResponse(response, status, timeToFirstByte)
+            recordResponse(status, timeToFirstByte)
+            return response
         }
 
         /** Logs the response and records its times. */
         private fun recordResponse(
-            response: Response,
             status: Int,
             timeToFirstByte: Duration,
-        ): Response {
+        ) {
             val duration = now() - arrival
             logger.info {
                 eventLine(
@@ -272,7 +242,6 @@
             }
             answerTimes.recordDuration(request.route.name, duration, now())
             observer.onResponse(request.route.name, status, timeToFirstByte, duration)
-            return response
         }
 
         /** Sends the attempt and waits for the response's headers; null if it failed and the dispatcher has been told. */
@@ -377,34 +346,61 @@
             gateway.post(DispatchEvent.AttemptEnded(request.key, end))
         }
 
-        override fun onCompleted() {
-            gateway.post(DispatchEvent.AttemptEnded(request.key, AttemptEnd.Answered))
-            gateway.release(submitted)
-        }
+        /** A stream whose head has been sent, or is about to be. */
+        private inner class RoutedStream(
+            private val status: Int,
+            private val started: AttemptStart.ResponseStarted,
+            private val timeToFirstByte: Duration,
+        ) : StreamSource {
+            override fun onCompleted(totals: StreamTotals) {
+                gateway.post(DispatchEvent.AttemptEnded(request.key, AttemptEnd.Answered))
+                gateway.release(submitted)
+                logEnd("stream-ended", totals)
+                recordResponse(status, timeToFirstByte)
+            }
 
-        override fun onAbandoned() {
-            call?.cancel()
-            gateway.release(submitted)
-        }
+            override fun onBrokenOff(totals: StreamTotals) {
+                gateway.release(submitted)
+                logEnd("stream-broken-off", totals)
+                observer.onResponse(request.route.name, ErrorKind.BACKEND_SERVER_FAILED.answer().status, timeToFirstByte, now() - arrival)
+            }
 
-        override fun resume(
-            failure: IOException,
-            lastEventId: String?,
-            hasSentHead: Boolean,
-        ): okio.BufferedSource? {
-            call?.cancel()
-            val canResume = request.route.isResumable && !isCallerGone && (lastEventId != null || !hasSentHead)
-            reportAttemptEnd(AttemptEnd.Failed(failure.toServerFailure(), canResume), "stream failed after event $lastEventId: $failure")
-            while (true) {
-                val decision = gateway.awaitDecision(submitted)
-                if (decision !is DispatchEffect.Send) {
-                    submitted.addDecision(decision)
-                    return null
+            override fun onAbandoned() {
+                call?.cancel()
+                gateway.release(submitted)
+            }
+
+            override fun resume(
+                failure: IOException,
+                lastEventId: String?,
+            ): BufferedSource? {
+                call?.cancel()
+                val canResume = request.route.isResumable && !isCallerGone && lastEventId != null
+                val end = AttemptEnd.Failed(failure.toServerFailure(), canResume)
+                reportAttemptEnd(end, "the stream failed after event $lastEventId: $failure")
+                while (true) {
+                    val decision = gateway.awaitDecision(submitted)
+                    if (decision !is DispatchEffect.Send) return null
+                    val next = sendAttempt(decision, lastEventId) ?: continue
+                    val fault = next.response.findContinuationFault() ?: return next.response.body.source()
+                    next.response.close()
+                    call?.cancel()
+                    reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR), fault)
                 }
-                val started = sendAttempt(decision, lastEventId) ?: continue
-                if (started.response.isSuccessful) return started.response.body.source()
-                started.response.close()
-                reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR), "status ${started.response.code}")
+            }
+
+            private fun logEnd(
+                event: String,
+                totals: StreamTotals,
+            ) = logger.info {
+                eventLine(
+                    event,
+                    "request" to request.id,
+                    "route" to request.route.name,
+                    "framing" to started.response.framing.label,
+                    "bytes" to totals.bytes,
+                    "events" to totals.events,
+                )
             }
         }
     }
