Mark the end of every response, and reset what ends with its connection

What callers could see: a stream that broke off ended as complete for callers that speak HTTP/1.0 or that do not keep their connection. Cause: Undertow lets a response without a length end with its connection unless that is kept, and the entry VM closed a connection without a reset; a killed process closes it alike. Now HTTP/1.1 callers get chunks in any case, and what no length and no chunks end is reset when it breaks off. An unexpected error in the middle of a body also breaks the connection off before Undertow can end the exchange.

The missing last chunk after an unexpected error was so before; that candidate is ruled out.

--- a/http/src/main/kotlin/org/ragwortlever/http/UndertowServer.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/UndertowServer.kt
@@ -7,8 +7,10 @@
 
 import io.undertow.Undertow
 import io.undertow.UndertowOptions
+import io.undertow.server.AbstractServerConnection
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.handlers.BlockingHandler
+import io.undertow.util.Headers
 import io.undertow.util.HttpString
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
@@ -20,6 +22,7 @@
 import org.http4k.server.Http4kServer
 import org.http4k.server.ServerConfig
 import org.http4k.server.ServerConfig.StopMode
+import org.xnio.Options
 import java.io.IOException
 import java.io.InputStream
 import java.io.OutputStream
@@ -136,8 +139,7 @@
     response.body.use { body ->
         statusCode = response.status.code
         response.headers.forEach { (name, value) -> responseHeaders.add(HttpString(name), value.orEmpty()) }
-        body.length?.let { responseContentLength = it }
-        // An IOException here means that the caller has disconnected; closing the body informs its producer.
+        frameBody(body.length)
         // The output is closed before the body, so a closed body means that the whole response is being sent.
         runCatching {
             // With a known body length, Undertow ends the exchange at the last byte, before the output is closed.
@@ -145,10 +147,36 @@
             body.stream.copyAndFlush(outputStream, flushEachChunk = body.length == null)
             CallerWatch.current?.stop()
             outputStream.close()
-        }.onFailure { failure -> if (failure !is IOException) throw failure else connection.close() }
+        }.onFailure { failure ->
+            breakOff()
+            // An IOException means that the body's source has failed or that the caller has disconnected.
+            if (failure !is IOException) throw failure
+        }
+    }
+}
+
+/**
+ * Marks the end of the response's body. Without an own choice Undertow lets the body end with the connection if that is
+ * not kept, and a process that is killed would end it alike.
+ */
+private fun HttpServerExchange.frameBody(length: Long?) {
+    if (length != null) {
+        responseContentLength = length
+    } else if (isHttp11) {
+        responseHeaders.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString())
     }
 }
 
+/**
+ * Closes the connection so that the caller sees that the response is incomplete. A response whose end is marked by
+ * neither a length nor chunks ends with the connection, so it is reset.
+ */
+private fun HttpServerExchange.breakOff() {
+    val isEndMarked = responseHeaders.contains(Headers.CONTENT_LENGTH) || responseHeaders.contains(Headers.TRANSFER_ENCODING)
+    if (!isEndMarked) (connection as AbstractServerConnection).channel.setOption(Options.CLOSE_ABORT, true)
+    connection.close()
+}
+
 private fun HttpServerExchange.toRequest(content: Body): Request =
     requestHeaders
         .flatMap { values -> values.map { values.headerName.toString() to it } }
