Close a connection after an answer that is not its request's, and end requests on unexpected errors

What callers could see: each request on a connection got the answer to the one before it and was refused as 'may have run', since an answer with a foreign id and no body leaves its connection in the pool. The socket is closed now.

ForeignAnswerTest (connection) and MalformedAnswerTest (unexpected error): one new test each, both failed before; all 169 tests of the answer path pass.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -32,6 +32,7 @@
 import org.ragwortlever.core.route.AnswerTimes
 import org.ragwortlever.core.route.RouteKind
 import org.ragwortlever.core.route.RouteTable
+import org.ragwortlever.daemon.caller.internalRefusal
 import org.ragwortlever.daemon.caller.readBody
 import org.ragwortlever.daemon.caller.toResponse
 import org.ragwortlever.http.CallerWatch
@@ -143,7 +144,17 @@
         }
 
         /** Runs attempts until one yields a response or the dispatcher refuses the request. */
-        fun answer(): Response {
+        fun answer(): Response =
+            try {
+                runAttempts()
+            } catch (failure: RuntimeException) {
+                logger.error(failure) { eventLine("request-failed", "request" to request.id, "error" to failure) }
+                call?.cancel()
+                reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR, canResume = false), "the entry VM failed")
+                refuse(internalRefusal(failure))
+            }
+
+        private fun runAttempts(): Response {
             while (true) {
                 when (val decision = gateway.awaitDecision(submitted)) {
                     is DispatchEffect.Refuse -> return refuse(decision.refusal)
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerCall.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerCall.kt
@@ -23,9 +23,10 @@
     @Volatile
     private var canceled = false
 
+    private var tracker = SendTracker()
+
     /** Whether the request was the first one on its connection; known once [execute] has returned. */
-    var isFirstOnConnection: Boolean = false
-        private set
+    val isFirstOnConnection: Boolean get() = tracker.isFirstOnConnection
 
     /**
      * Sends the request and waits for the response's headers.
@@ -36,13 +37,13 @@
     fun execute(): Response {
         var staleConnections = 0
         while (true) {
-            val tracker = SendTracker()
+            tracker = SendTracker()
             val next = client.newCall(tracker.attachTo(request))
             next.timeout().timeout(timeout.inWholeMilliseconds.coerceAtLeast(1), TimeUnit.MILLISECONDS)
             call = next
             if (canceled) next.cancel()
             try {
-                return tracker.track { next.execute() }.also { isFirstOnConnection = tracker.isFirstOnConnection }
+                return tracker.track { next.execute() }
             } catch (failure: IOException) {
                 if (failure.cause !is StaleConnectionException || ++staleConnections > MAX_STALE_CONNECTIONS) throw failure
             }
@@ -55,6 +56,9 @@
         call?.cancel()
     }
 
+    /** Closes the connection of an exchange that has returned what is not its answer, so that no other request uses it. */
+    fun closeConnection() = tracker.closeConnection()
+
     private companion object {
         // The maximum of idle connections to one server; a restarted server has closed all of them.
         const val MAX_STALE_CONNECTIONS = 64
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -128,8 +128,9 @@
             }
         val rejected = checkResponse(response, requestId, attempt.isFirstOnConnection)
         if (rejected == null) return AttemptStart.ResponseStarted(response, readNotice(response))
-        response.close()
         attempt.cancel()
+        response.close()
+        if (rejected.end is AttemptEnd.Failed) attempt.closeConnection()
         return rejected
     }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/ForeignAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/ForeignAnswerTest.kt
@@ -54,6 +54,21 @@
         expectThat(server.received).hasSize(2)
     }
 
+    // Guards against a connection on which every request gets the answer to the one before it.
+    @Test
+    fun `given an answer to another request, when the next request comes, then it is sent on another connection`() {
+        var asked = 0
+        fixture.startServers({ request, socket ->
+            if (asked++ == 0) {
+                socket.write(refusal("503 Full", "X-Request-Id: id-0\r\n"))
+                Thread.sleep(LATE_ANSWER_MILLISECONDS)
+            }
+            socket.answer(request, "done")
+        })
+        expectThat(fixture.post("/once/1").use { it.code }).isEqualTo(502)
+        expectThat(fixture.post("/once/2", headers = mapOf("X-Request-Id" to "id-2")).use { it.body.string() }).isEqualTo("done")
+    }
+
     /** Uses a connection once, then lets the server run a request on it and write [answer]. */
     private fun expectUnknownOutcome(answer: (Socket) -> Unit) {
         var asked = 0
@@ -76,5 +91,8 @@
     private companion object {
         // Longer than the time for which a server is avoided after its first failure.
         const val AVOIDANCE_MILLISECONDS = 1500L
+
+        // Longer than the next request needs to reach the connection.
+        const val LATE_ANSWER_MILLISECONDS = 300L
     }
 }
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/MalformedAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/MalformedAnswerTest.kt
@@ -7,7 +7,9 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 
 class MalformedAnswerTest {
     private val fixture = RoutedRequestFixture()
@@ -101,6 +103,18 @@
         expectThat(fixture.post("/once/7").use { it.code }).isEqualTo(502)
     }
 
+    // Guards against an unexpected error after which the request counts as running at its server for ever.
+    @Test
+    fun `given an unexpected error in the entry VM, when it handles an answer, then the request ends and its outcome is unknown`() {
+        fixture.startServers({ request, socket -> socket.answer(request, "done") })
+        fixture.unexpectedError = IllegalStateException("unexpected")
+        fixture.post("/once/7").use {
+            expectThat(it.code).isEqualTo(500)
+            expectThat(it.body.string()).contains("\"executed\":\"unknown\"")
+        }
+        expectThat(fixture.awaitNoOpenRequest()).isTrue()
+    }
+
     private fun identity(request: ReceivedRequest) = "X-Request-Id: ${request.header("X-Request-Id")}\r\nX-Answer-Signature: signed\r\n"
 
     private companion object {
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
@@ -26,6 +26,7 @@
 import org.ragwortlever.http.HttpListener
 import org.ragwortlever.http.UndertowListeners
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -34,7 +35,8 @@
 
 internal class RoutedRequestFixture : AutoCloseable {
     private val control = ControlLoop()
-    private val gateway = DispatchGateway(control, Dispatcher(DispatchOptions("vm-1", "a")), Clock.System, UnreachablePeers)
+    private val dispatcher = Dispatcher(DispatchOptions("vm-1", "a"))
+    private val gateway = DispatchGateway(control, dispatcher, Clock.System, UnreachablePeers)
     private val headerNames = RoutedHeaderNames()
     private val serverClient = ServerClient(headerNames)
     private val servers = ArrayList<ScriptedServer>()
@@ -51,6 +53,21 @@
     @Volatile
     var threadDelay: Duration = Duration.ZERO
 
+    /** Thrown inside the entry VM when a server has started to respond; null for none. */
+    @Volatile
+    var unexpectedError: RuntimeException? = null
+
+    /** Waits until the dispatcher has no open request and returns whether that came about within a second. */
+    fun awaitNoOpenRequest(): Boolean {
+        val end = System.nanoTime() + 1.seconds.inWholeNanoseconds
+        while (System.nanoTime() < end) {
+            val open = CompletableFuture<Int>()
+            control.post { open.complete(dispatcher.openRequests) }
+            if (open.get() == 0) return true
+        }
+        return false
+    }
+
     private val routes =
         listOf(
             route("/once/", RouteKind.AT_MOST_ONCE),
@@ -71,6 +88,7 @@
         object : RequestObserver {
             override fun onStarted(account: String?) {
                 this@RoutedRequestFixture.startedAccounts += account
+                unexpectedError?.let { throw it }
             }
 
             override fun onResponse(
--- a/http/src/main/kotlin/org/ragwortlever/http/SendTracker.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/SendTracker.kt
@@ -2,6 +2,7 @@
 package org.ragwortlever.http
 
 import okhttp3.Call
+import okhttp3.Connection
 import okhttp3.EventListener
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -26,6 +27,17 @@
     var isFirstOnConnection: Boolean = false
         private set
 
+    @Volatile
+    private var connection: Connection? = null
+
+    /**
+     * Closes the connection that the request was sent on, also if the exchange has ended and another request may use it.
+     * For connections whose next bytes can't be trusted.
+     */
+    fun closeConnection() {
+        connection?.socket()?.close()
+    }
+
     /** Returns a copy of [request] with this tracker attached. */
     fun attachTo(request: Request): Request = request.newBuilder().tag(SendTracker::class.java, this).build()
 
@@ -43,6 +55,10 @@
             throw NotSentException(failure)
         }
 
+    internal fun recordConnection(acquired: Connection) {
+        connection = acquired
+    }
+
     internal fun recordConnect() {
         isFirstOnConnection = true
     }
@@ -68,6 +84,13 @@
         tracker?.recordConnect()
     }
 
+    override fun connectionAcquired(
+        call: Call,
+        connection: Connection,
+    ) {
+        tracker?.recordConnection(connection)
+    }
+
     override fun requestHeadersStart(call: Call) {
         tracker?.recordSendStart()
     }
