Say in one place how an answer ended and what may be done with it

Cause: each reader of an answer had its own idea of its end and of what follows from it. Now AnswerEnd is the closed list of ends (complete with its proof, refused, broken off, foreign, malformed, too long), and AnswerEnd.use the one table of what each kind of route may do with each, rendered into docs/errors.md. The routed request handler takes its decisions on retries and resumptions from it, and attempt-failed logs the end as answer=.

AnswerEndTest checks all 64 combinations: nothing but a complete answer is forwarded, nothing but a refusal of this request is 'not run', nothing that may have run once is sent again, and a stream with events at the caller is continued or cut.

--- a/core/src/main/kotlin/org/ragwortlever/core/error/ErrorTable.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/error/ErrorTable.kt
@@ -1,7 +1,9 @@
-// Renders the table of error kinds for docs/errors.md.
+// Renders the tables of docs/errors.md.
 package org.ragwortlever.core.error
 
-/** Renders the error kinds as a Markdown page. */
+import org.ragwortlever.core.answer.renderAnswerUseTable
+
+/** Renders the error kinds, and what becomes of the answers of backend servers, as a Markdown page. */
 fun renderErrorTable(): String =
     buildString {
         appendLine("# Errors")
@@ -16,4 +18,11 @@
             val answer = kind.answer()
             appendLine("| `${kind.code}` | ${answer.status} | ${answer.title} |")
         }
+        appendLine()
+        appendLine("## What becomes of a backend server's answer")
+        appendLine()
+        appendLine("By how the answer to a routed request ended, whether the caller has got events of it, and how often the request")
+        appendLine("may run. A complete answer with a status of 500 or above is also retried where the request may run again.")
+        appendLine()
+        append(renderAnswerUseTable())
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -16,6 +16,10 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.ragwortlever.core.answer.AnswerEnd
+import org.ragwortlever.core.answer.AnswerUse
+import org.ragwortlever.core.answer.repetition
+import org.ragwortlever.core.answer.use
 import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.backend.RequestLimit
 import org.ragwortlever.core.backend.ServerFailure
@@ -180,8 +184,7 @@
                 try {
                     response.body.readBytesUpTo(MAX_ANSWER_BYTES)
                 } catch (failure: IOException) {
-                    call?.cancel()
-                    reportAttemptEnd(AttemptEnd.Failed(failure.toServerFailure()), "reading the response failed: $failure")
+                    reportBreak(failure, "reading the response failed: $failure")
                     return null
                 }
             if (response.code >= SERVER_ERROR_STATUS && request.route.isRepeatable) return retryServerError(base, content)
@@ -213,8 +216,7 @@
             try {
                 events.prefetch()
             } catch (failure: IOException) {
-                call?.cancel()
-                reportAttemptEnd(AttemptEnd.Failed(failure.toServerFailure()), "the stream failed before its first event: $failure")
+                reportBreak(failure, "the stream failed before its first event: $failure")
                 return null
             }
             return base.body(Body(events, null))
@@ -303,7 +305,7 @@
                     start
                 }
                 is AttemptStart.Ended -> {
-                    reportAttemptEnd(start.end, start.detail)
+                    reportAttemptEnd(start.end, start.detail, start.answer)
                     null
                 }
             }
@@ -340,16 +342,29 @@
             )
         }
 
+        /** Ends the attempt, whose answer failed with [failure] before the caller got anything of it. */
+        private fun reportBreak(
+            failure: IOException,
+            detail: String,
+        ) {
+            call?.cancel()
+            val answer = failure.toAnswerEnd()
+            val mayRetry = answer.use(request.route.repetition, hasSentEvents = false) == AnswerUse.RETRY
+            reportAttemptEnd(AttemptEnd.Failed(failure.toServerFailure(), canResume = mayRetry), detail, answer)
+        }
+
         /** Logs why the attempt ended without a usable response and tells the dispatcher. */
         private fun reportAttemptEnd(
             end: AttemptEnd,
             detail: String,
+            answer: AnswerEnd? = null,
         ) {
             logger.info {
                 eventLine(
                     "attempt-failed",
                     "request" to request.id,
                     "end" to end,
+                    "answer" to answer?.label,
                     "detail" to detail,
                     "ms" to (now() - arrival).inWholeMilliseconds,
                 )
@@ -386,9 +401,10 @@
                 lastEventId: String?,
             ): BufferedSource? {
                 call?.cancel()
-                val canResume = request.route.isResumable && !isCallerGone && lastEventId != null
-                val end = AttemptEnd.Failed(failure.toServerFailure(), canResume)
-                reportAttemptEnd(end, "the stream failed after event $lastEventId: $failure")
+                val answer = failure.toAnswerEnd()
+                val mayResume = answer.use(request.route.repetition, hasSentEvents = true) == AnswerUse.RESUME
+                val end = AttemptEnd.Failed(failure.toServerFailure(), mayResume && !isCallerGone && lastEventId != null)
+                reportAttemptEnd(end, "the stream failed after event $lastEventId: $failure", answer)
                 while (true) {
                     val decision = gateway.awaitDecision(submitted)
                     if (decision !is DispatchEffect.Send) return null
@@ -396,7 +412,7 @@
                     val fault = next.response.findContinuationFault() ?: return next.response.body.source()
                     next.response.close()
                     call?.cancel()
-                    reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR), fault)
+                    reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR), fault, AnswerEnd.Malformed)
                 }
             }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -13,6 +13,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.http4k.core.Headers
+import org.ragwortlever.core.answer.AnswerEnd
 import org.ragwortlever.core.backend.KnownServer
 import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.backend.ServerNotice
@@ -21,6 +22,7 @@
 import org.ragwortlever.core.dispatch.AttemptEnd
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.http.KeepAliveSocketFactory
+import org.ragwortlever.http.MalformedResponseException
 import org.ragwortlever.http.NotSentException
 import org.ragwortlever.http.StaleConnectionCheck
 import org.ragwortlever.http.plainHttpClient
@@ -56,9 +58,10 @@
         override val notice: ServerNotice?,
     ) : AttemptStart
 
-    /** The attempt ended without a usable response; [detail] gives the reason. */
+    /** The attempt ended without a usable response; [detail] gives the reason. [answer] is null if nothing was sent. */
     class Ended(
         val end: AttemptEnd,
+        val answer: AnswerEnd?,
         val detail: String,
         override val notice: ServerNotice? = null,
     ) : AttemptStart
@@ -122,9 +125,9 @@
             try {
                 attempt.execute()
             } catch (failure: NotSentException) {
-                return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.UNREACHABLE), failure.message.orEmpty())
+                return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.UNREACHABLE), null, failure.message.orEmpty())
             } catch (failure: IOException) {
-                return AttemptStart.Ended(AttemptEnd.Failed(failure.toServerFailure()), failure.toString())
+                return AttemptStart.Ended(AttemptEnd.Failed(failure.toServerFailure()), failure.toAnswerEnd(), failure.toString())
             }
         val rejected = checkResponse(response, requestId, attempt.isFirstOnConnection)
         if (rejected == null) return AttemptStart.ResponseStarted(response, readNotice(response))
@@ -150,20 +153,32 @@
         isFirstOnConnection: Boolean,
     ): AttemptStart.Ended? {
         val answers = response.header(headerNames.requestId)
-        if (answers != null && answers != requestId) return invalidResponse("the response belongs to request $answers")
-        if (answers == null && !isFirstOnConnection) return invalidResponse("the response has no request id, on a reused connection")
-        if (response.code == MISDIRECTED_STATUS) {
-            return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.REPLACED), "another server uses the address")
+        val isMisdirected = response.code == MISDIRECTED_STATUS
+        return when {
+            answers != null && answers != requestId -> foreignResponse("the response belongs to request $answers")
+            answers == null && !isFirstOnConnection -> foreignResponse("the response has no request id, on a reused connection")
+            isMisdirected -> refusal(ServerFailure.REPLACED, "another server uses the address", notice = null)
+            response.header(headerNames.notRun) != null -> refusal(ServerFailure.BUSY, "status ${response.code}", readNotice(response))
+            response.header("Content-Encoding") != null -> malformedResponse("the response has a Content-Encoding")
+            !response.isSuccessful -> null
+            response.header(headerNames.signature) == null -> malformedResponse("the response is not signed")
+            answers == null -> foreignResponse("the response has no request id")
+            else -> null
         }
-        if (response.header(headerNames.notRun) != null) {
-            return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.BUSY), "status ${response.code}", readNotice(response))
-        }
-        if (response.header("Content-Encoding") != null) return invalidResponse("the response has a Content-Encoding")
-        if (response.isSuccessful && response.header(headerNames.signature) == null) return invalidResponse("the response is not signed")
-        if (response.isSuccessful && answers == null) return invalidResponse("the response has no request id")
-        return null
     }
 
+    private fun refusal(
+        failure: ServerFailure,
+        detail: String,
+        notice: ServerNotice?,
+    ) = AttemptStart.Ended(AttemptEnd.NotRun(failure), AnswerEnd.Refused, detail, notice)
+
+    private fun foreignResponse(detail: String) =
+        AttemptStart.Ended(AttemptEnd.Failed(ServerFailure.ERROR), AnswerEnd.Foreign, detail)
+
+    private fun malformedResponse(detail: String) =
+        AttemptStart.Ended(AttemptEnd.Failed(ServerFailure.ERROR), AnswerEnd.Malformed, detail)
+
     private fun readNotice(response: Response): ServerNotice? {
         val isLeaving = response.header(headerNames.leaving)?.trim() == "1"
         val retryAfter = response.header("Retry-After").takeIf { response.code == UNAVAILABLE_STATUS }
@@ -177,8 +192,6 @@
         return ServerNotice(isLeaving, quietFor?.takeIf { it > Duration.ZERO }, limit).takeIf { it != ServerNotice() }
     }
 
-    private fun invalidResponse(detail: String) = AttemptStart.Ended(AttemptEnd.Failed(ServerFailure.ERROR), detail)
-
     /** Removes `Retry-After: 0` from a 503. OkHttp would retry by itself, but retries are the dispatcher's decision. */
     private fun removeImmediateRetryAfter(chain: Interceptor.Chain): Response {
         val response = chain.proceed(chain.request())
@@ -209,3 +222,11 @@
 
 /** Maps a timeout to [ServerFailure.SILENT] and any other I/O error to [ServerFailure.BROKEN]. */
 internal fun IOException.toServerFailure() = if (this is InterruptedIOException) ServerFailure.SILENT else ServerFailure.BROKEN
+
+/** How an answer ended whose reading has failed with this error. */
+internal fun IOException.toAnswerEnd(): AnswerEnd =
+    when (this) {
+        is AnswerTooLongException -> AnswerEnd.TooLong
+        is MalformedResponseException, is EventOrderException -> AnswerEnd.Malformed
+        else -> AnswerEnd.BrokenOff
+    }
