Treat undecodable answers of store, VM list and engines as failures

What operators could see: an answer without content, or with another shape, threw an unchecked exception into the thread that asked, and an empty answer of the store to a write read as 'condition failed' although it may have been written. Cause: answers were decoded outside the error handling, and etcd leaves false fields out, so that absence passed for a value. Now decoding is part of the call, and an answer counts only with its header.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/UpstreamCall.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/UpstreamCall.kt
@@ -1,7 +1,6 @@
 // Sends one attempt of a chat completion to one backend server and reads its server-sent events.
 package org.ragwortlever.daemon.caller
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.contentOrNull
@@ -83,12 +82,15 @@
 
     private fun parsePart(data: String): CompletionPart? {
         if (data == DONE_MARKER) throw IOException("the stream sent [DONE] without a finish reason")
-        val choice =
-            try {
-                Json.parseToJsonElement(data).jsonObject["choices"]?.jsonArray?.firstOrNull()?.jsonObject ?: return null
-            } catch (failure: SerializationException) {
-                throw IOException("the stream contains an event that is not valid JSON", failure)
-            }
+        return try {
+            decodePart(data)
+        } catch (failure: IllegalArgumentException) {
+            throw IOException("the stream contains an event that is no completion chunk", failure)
+        }
+    }
+
+    private fun decodePart(data: String): CompletionPart? {
+        val choice = Json.parseToJsonElement(data).jsonObject["choices"]?.jsonArray?.firstOrNull()?.jsonObject ?: return null
         (choice["finish_reason"] as? JsonPrimitive)?.contentOrNull?.let { return CompletionPart.End(it) }
         val content = (choice["delta"]?.jsonObject?.get("content") as? JsonPrimitive)?.contentOrNull
         return content?.takeIf { it.isNotEmpty() }?.let { CompletionPart.Text(it) }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/EtcdStore.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/EtcdStore.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.map
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonObjectBuilder
@@ -63,27 +62,25 @@
     override fun readPrefix(prefix: String): Result<StoreRead, StoreFailure> = range(prefix, prefix = true)
 
     override fun commit(transaction: Transaction): Result<TransactionResult, StoreFailure> =
-        call("/v3/kv/txn") {
-            putJsonArray("compare") { transaction.conditions.forEach { add(it.toJson()) } }
-            putJsonArray("success") { transaction.writes.forEach { add(it.toJson()) } }
-        }.map { answer ->
-            if (answer["succeeded"]?.jsonPrimitive?.boolean == true) {
-                TransactionResult.Committed(answer.revision())
-            } else {
-                TransactionResult.ConditionFailed
-            }
+        call("/v3/kv/txn", transaction.toJson()) { answer ->
+            // A failed condition is shown by the absence of a field, so the header is needed to tell it from an empty answer.
+            val revision = answer.revision()
+            val isCommitted = answer["succeeded"]?.jsonPrimitive?.boolean == true
+            if (isCommitted) TransactionResult.Committed(revision) else TransactionResult.ConditionFailed
         }
 
     override fun grantLease(duration: Duration): Result<Long, StoreFailure> =
-        call("/v3/lease/grant") { put("TTL", duration.inWholeSeconds.toString()) }
-            .map { it.getValue("ID").jsonPrimitive.long }
+        call("/v3/lease/grant", buildJsonObject { put("TTL", duration.inWholeSeconds.toString()) }) {
+            it.getValue("ID").jsonPrimitive.long
+        }
 
     override fun keepAlive(lease: Long): Result<Boolean, StoreFailure> =
-        call("/v3/lease/keepalive") { put("ID", lease.toString()) }
-            .map { answer -> (answer["result"]?.jsonObject?.get("TTL")?.jsonPrimitive?.long ?: 0) > 0 }
+        call("/v3/lease/keepalive", leaseBody(lease)) { answer ->
+            (answer.getValue("result").jsonObject["TTL"]?.jsonPrimitive?.long ?: 0) > 0
+        }
 
     override fun revokeLease(lease: Long): Result<Unit, StoreFailure> =
-        call("/v3/lease/revoke") { put("ID", lease.toString()) }.map { }
+        call("/v3/lease/revoke", leaseBody(lease)) { }
 
     override fun watch(
         prefix: String,
@@ -104,17 +101,25 @@
     private fun range(
         key: String,
         prefix: Boolean,
-    ): Result<StoreRead, StoreFailure> =
-        call("/v3/kv/range") {
-            put("key", key.encoded())
-            if (prefix) put("range_end", key.rangeEnd().encoded())
-        }.map { answer -> StoreRead(answer.revision(), answer["kvs"]?.jsonArray.orEmpty().map { it.jsonObject.toEntry() }) }
+    ): Result<StoreRead, StoreFailure> {
+        val body =
+            buildJsonObject {
+                put("key", key.encoded())
+                if (prefix) put("range_end", key.rangeEnd().encoded())
+            }
+        return call("/v3/kv/range", body) { answer ->
+            StoreRead(answer.revision(), answer["kvs"]?.jsonArray.orEmpty().map { it.jsonObject.toEntry() })
+        }
+    }
+
+    private fun leaseBody(lease: Long) = buildJsonObject { put("ID", lease.toString()) }
 
-    private fun call(
+    private fun <T> call(
         path: String,
-        body: JsonObjectBuilder.() -> Unit,
-    ): Result<JsonObject, StoreFailure> =
-        exchange(calls, path, buildJsonObject(body)) { response -> Json.parseToJsonElement(response.body.string()).jsonObject }
+        body: JsonObject,
+        decode: (JsonObject) -> T,
+    ): Result<T, StoreFailure> =
+        exchange(calls, path, body) { response -> decode(Json.parseToJsonElement(response.body.string()).jsonObject) }
 
     private fun <T> exchange(
         client: OkHttpClient,
@@ -136,6 +141,10 @@
             Err(StoreFailure.NotSent(failure.message.orEmpty()))
         } catch (failure: IOException) {
             Err(StoreFailure.NoAnswer(failure.message ?: failure.javaClass.simpleName))
+        } catch (failure: IllegalArgumentException) {
+            Err(StoreFailure.NoAnswer("invalid response of the store: ${failure.message}"))
+        } catch (failure: NoSuchElementException) {
+            Err(StoreFailure.NoAnswer("incomplete response of the store: ${failure.message}"))
         }
     }
 
@@ -168,6 +177,12 @@
         lease = this["lease"]?.jsonPrimitive?.long ?: 0,
     )
 
+private fun Transaction.toJson(): JsonObject =
+    buildJsonObject {
+        putJsonArray("compare") { conditions.forEach { add(it.toJson()) } }
+        putJsonArray("success") { writes.forEach { add(it.toJson()) } }
+    }
+
 private fun Condition.toJson(): JsonObject =
     buildJsonObject {
         put("key", key.encoded())
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/VirtualMachineList.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/VirtualMachineList.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -38,5 +39,7 @@
             }
         } catch (failure: IOException) {
             Err(failure.message ?: failure.javaClass.simpleName)
+        } catch (failure: SerializationException) {
+            Err("invalid list of VMs: ${failure.message}")
         }
 }
