Move the log lines of routed requests into their own class

The line attempt-failed also names the server, so that one that breaks off or repeats over and over is found by its id. Formatter applied.

--- a/core/src/main/kotlin/org/ragwortlever/core/answer/AnswerUse.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/answer/AnswerUse.kt
@@ -59,10 +59,15 @@
     hasSentEvents: Boolean,
 ): AnswerUse =
     when (this) {
-        is AnswerEnd.Complete -> AnswerUse.FORWARD
-        AnswerEnd.Refused -> if (hasSentEvents) useAfterEvents(repetition) else AnswerUse.SEND_ELSEWHERE
-        AnswerEnd.BrokenOff, AnswerEnd.Foreign, AnswerEnd.Malformed, AnswerEnd.TooLong ->
+        is AnswerEnd.Complete -> {
+            AnswerUse.FORWARD
+        }
+        AnswerEnd.Refused -> {
+            if (hasSentEvents) useAfterEvents(repetition) else AnswerUse.SEND_ELSEWHERE
+        }
+        AnswerEnd.BrokenOff, AnswerEnd.Foreign, AnswerEnd.Malformed, AnswerEnd.TooLong -> {
             if (hasSentEvents) useAfterEvents(repetition) else useBeforeEvents(repetition)
+        }
     }
 
 private fun useAfterEvents(repetition: Repetition): AnswerUse =
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -10,7 +10,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.binding
 import com.github.michaelbull.result.getOrElse
-import io.github.oshai.kotlinlogging.KotlinLogging
 import okio.BufferedSource
 import org.http4k.core.Body
 import org.http4k.core.Request
@@ -21,7 +20,6 @@
 import org.ragwortlever.core.answer.repetition
 import org.ragwortlever.core.answer.use
 import org.ragwortlever.core.backend.BackendServer
-import org.ragwortlever.core.backend.RequestLimit
 import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.backend.ServerNotice
 import org.ragwortlever.core.dispatch.AttemptEnd
@@ -32,7 +30,6 @@
 import org.ragwortlever.core.error.Executed
 import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.error.answer
-import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.route.AnswerTimes
 import org.ragwortlever.core.route.RouteKind
 import org.ragwortlever.core.route.RouteTable
@@ -103,17 +100,7 @@
         arrival: Instant,
     ): Response {
         val duration = now() - arrival
-        logger.info {
-            eventLine(
-                "refused",
-                "request" to id,
-                "route" to route,
-                "kind" to refusal.kind.code,
-                "executed" to refusal.executed,
-                "detail" to refusal.detail,
-                "ms" to duration.inWholeMilliseconds,
-            )
-        }
+        RequestLog(id, route).refused(refusal, duration)
         val response = refusal.toResponse(id)
         observer.onResponse(route, response.status.code, duration, duration)
         return response.withConnectionClose()
@@ -129,6 +116,7 @@
         private val isCallerConnectionClosed: () -> Boolean,
     ) {
         private val request = prepared.request
+        private val log = RequestLog(request.id, request.route.name)
         private val submitted = gateway.submit(request)
 
         @Volatile
@@ -138,13 +126,16 @@
         private var isCallerGone = false
         private var isStartReported = false
 
+        /** Server of the current attempt. */
+        private var server: BackendServer? = null
+
         /** Cancels the running attempt and wakes the thread that waits for a decision; may be called from any thread. */
         fun onCallerGone() {
             isCallerGone = true
             call?.cancel()
             gateway.release(submitted)
             submitted.addDecision(DispatchEffect.Refuse(request.key, Refusal(ErrorKind.CALLER_GONE, "the caller closed its connection")))
-            logger.info { eventLine("caller-gone", "request" to request.id, "ms" to (now() - arrival).inWholeMilliseconds) }
+            log.callerGone(now() - arrival)
         }
 
         /** Runs attempts until one yields a response or the dispatcher refuses the request. */
@@ -152,7 +143,7 @@
             try {
                 runAttempts()
             } catch (failure: RuntimeException) {
-                logger.error(failure) { eventLine("request-failed", "request" to request.id, "error" to failure) }
+                log.failed(failure)
                 call?.cancel()
                 reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR, canResume = false), "the entry VM failed")
                 refuse(internalRefusal(failure))
@@ -243,16 +234,7 @@
             timeToFirstByte: Duration,
         ) {
             val duration = now() - arrival
-            logger.info {
-                eventLine(
-                    "answered",
-                    "request" to request.id,
-                    "route" to request.route.name,
-                    "status" to status,
-                    "first-ms" to timeToFirstByte.inWholeMilliseconds,
-                    "ms" to duration.inWholeMilliseconds,
-                )
-            }
+            log.answered(status, timeToFirstByte, duration)
             answerTimes.recordDuration(request.route.name, duration, now())
             observer.onResponse(request.route.name, status, timeToFirstByte, duration)
         }
@@ -262,6 +244,7 @@
             send: DispatchEffect.Send,
             lastEventId: String?,
         ): AttemptStart.ResponseStarted? {
+            server = send.server.server
             if (unavailableServers.isUnavailable(send.server.server, now())) {
                 reportAttemptEnd(AttemptEnd.NotRun(ServerFailure.CLOSED), "the server announced that it accepts no new requests")
                 return null
@@ -272,23 +255,7 @@
             }
             val timeLeft = request.deadline - now()
             val timeout = minOf(timeLeft, send.firstByteTimeout ?: timeLeft)
-            logger.info {
-                eventLine(
-                    "routed",
-                    "request" to request.id,
-                    "route" to request.route.name,
-                    "account" to request.account,
-                    "tier" to request.tier,
-                    "tokens" to request.promptTokens,
-                    "server" to send.server.server.id,
-                    "attempt" to send.attempt,
-                    "reason" to send.reason,
-                    "server-sequence" to send.server.server.sequence,
-                    "waited-ms" to (now() - arrival).inWholeMilliseconds,
-                    "left-ms" to timeLeft.inWholeMilliseconds,
-                    "after" to lastEventId,
-                )
-            }
+            log.routed(request, send, lastEventId, waited = now() - arrival, timeLeft)
             val headers = AttemptHeaders(request.account, request.tier.takeIf { request.parts.isNotEmpty() }, lastEventId)
             val prepared = servers.prepare(prepared.outgoing, send.server, headers, timeLeft, timeout)
             call = prepared
@@ -298,7 +265,7 @@
             start.notice?.let { handleNotice(send.server.server, it) }
             return when (start) {
                 is AttemptStart.ResponseStarted -> {
-                    if (start.notice?.limit == null && namedLimits.remove(send.server.server)) logLimitEnd(send.server.server)
+                    if (start.notice?.limit == null && namedLimits.remove(send.server.server)) log.limitEnded(send.server.server)
                     gateway.post(DispatchEvent.FirstByteReceived(request.key))
                     if (!isStartReported) observer.onStarted(request.account)
                     isStartReported = true
@@ -318,30 +285,10 @@
         ) {
             unavailableServers.record(server, notice, now())
             val isNewLimit = notice.limit?.let { namedLimits.record(server, it) } ?: false
-            if (notice.isLeaving || notice.quietFor != null || isNewLimit) logNotice(server, notice)
+            if (notice.isLeaving || notice.quietFor != null || isNewLimit) log.notice(server, notice)
             gateway.post(DispatchEvent.ServerNoticeReceived(server.id, server.incarnation, notice))
         }
 
-        private fun logLimitEnd(server: BackendServer) =
-            logger.info {
-                eventLine("server-limit-ended", "request" to request.id, "server" to server.id, "incarnation" to server.incarnation)
-            }
-
-        private fun logNotice(
-            server: BackendServer,
-            notice: ServerNotice,
-        ) = logger.info {
-            eventLine(
-                "server-notice",
-                "request" to request.id,
-                "server" to server.id,
-                "incarnation" to server.incarnation,
-                "leaving" to notice.isLeaving,
-                "quiet-ms" to notice.quietFor?.inWholeMilliseconds,
-                "limit-per-second" to notice.limit?.let { if (it is RequestLimit.PerSecond) it.requests else "unreadable" },
-            )
-        }
-
         /** Ends the attempt, whose answer failed with [failure] before the caller got anything of it. */
         private fun reportBreak(
             failure: IOException,
@@ -359,16 +306,7 @@
             detail: String,
             answer: AnswerEnd? = null,
         ) {
-            logger.info {
-                eventLine(
-                    "attempt-failed",
-                    "request" to request.id,
-                    "end" to end,
-                    "answer" to answer?.label,
-                    "detail" to detail,
-                    "ms" to (now() - arrival).inWholeMilliseconds,
-                )
-            }
+            log.attemptFailed(server, end, answer, detail, now() - arrival)
             gateway.post(DispatchEvent.AttemptEnded(request.key, end))
         }
 
@@ -381,13 +319,13 @@
             override fun onCompleted(totals: StreamTotals) {
                 gateway.post(DispatchEvent.AttemptEnded(request.key, AttemptEnd.Answered))
                 gateway.release(submitted)
-                logEnd("stream-ended", totals)
+                log.streamEnded(totals, started.response.framing)
                 recordResponse(status, timeToFirstByte)
             }
 
             override fun onBrokenOff(totals: StreamTotals) {
                 gateway.release(submitted)
-                logEnd("stream-broken-off", totals)
+                log.streamBrokenOff(totals, started.response.framing)
                 observer.onResponse(request.route.name, ErrorKind.BACKEND_SERVER_FAILED.answer().status, timeToFirstByte, now() - arrival)
             }
 
@@ -415,25 +353,10 @@
                     reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR), fault, AnswerEnd.Malformed)
                 }
             }
-
-            private fun logEnd(
-                event: String,
-                totals: StreamTotals,
-            ) = logger.info {
-                eventLine(
-                    event,
-                    "request" to request.id,
-                    "route" to request.route.name,
-                    "framing" to started.response.framing.label,
-                    "bytes" to totals.bytes,
-                    "events" to totals.events,
-                )
-            }
         }
     }
 
     private companion object {
-        val logger = KotlinLogging.logger {}
         const val SERVER_ERROR_STATUS = 500
 
         // Callers rely on these statuses to mean that the request did not run, but a server may send them for other reasons.
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/ForeignAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/ForeignAnswerTest.kt
@@ -16,7 +16,7 @@
 
     // Guards against "not run" for a request that ran, because a faulty server repeated an earlier refusal.
     @Test
-    fun `given a kept connection, when the refusal of an earlier request arrives again, then an at-most-once caller is not told 'not run'`() =
+    fun `given a kept connection, when an earlier refusal arrives again, then an at-most-once caller is not told 'not run'`() =
         expectUnknownOutcome { socket -> socket.write(refusal("503 Full", "X-Request-Id: id-0\r\nX-Not-Run: 1\r\n")) }
 
     // Guards against a second run of a request, because a faulty server repeated what another one said of its address.
@@ -75,7 +75,13 @@
         val script = { request: ReceivedRequest, socket: Socket -> if (asked++ < 2) socket.answer(request, "done") else answer(socket) }
         val servers = fixture.startServers(script, script)
         // Both servers get a request first, so that the third one goes on a kept connection.
-        repeat(2) { expectThat(fixture.post("/once/$it", headers = mapOf("X-Request-Id" to "id-$it")).use { first -> first.code }).isEqualTo(200) }
+        repeat(2) {
+            expectThat(
+                fixture.post("/once/$it", headers = mapOf("X-Request-Id" to "id-$it")).use { first ->
+                    first.code
+                },
+            ).isEqualTo(200)
+        }
         fixture.post("/once/2", headers = mapOf("X-Request-Id" to "id-2")).use {
             expectThat(it.code).isEqualTo(502)
             expectThat(it.body.string()).contains("\"executed\":\"unknown\"")
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/MalformedAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/MalformedAnswerTest.kt
@@ -73,7 +73,17 @@
 
     // Guards against a status that the entry VM cannot handle and that ends the request in an unexpected error.
     @ParameterizedTest
-    @ValueSource(strings = ["HTTP/1.1 -20 Odd", "HTTP/1.1 099 Odd", "HTTP/1.1 999 Odd", "HTTP/1.1 000 Odd", "HTTP/2.0 200 OK", "\u0016\u0003\u0001", "HTTP/1.1 2000"])
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 -20 Odd",
+            "HTTP/1.1 099 Odd",
+            "HTTP/1.1 999 Odd",
+            "HTTP/1.1 000 Odd",
+            "HTTP/2.0 200 OK",
+            "\u0016\u0003\u0001",
+            "HTTP/1.1 2000",
+        ],
+    )
     fun `given an answer with an invalid status line, when it arrives, then its caller gets no success`(line: String) {
         fixture.startServers({ request, socket ->
             socket.write("$line\r\n${identity(request)}Content-Length: 4\r\n\r\ndone")
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/AnswerFuzzTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/AnswerFuzzTest.kt
@@ -34,8 +34,23 @@
     private fun play(case: AnswerCase) {
         val servers = CaseServers(case)
         RoutedRequestFixture().use { fixture ->
-            fixture.startServers(*Array(2) { number -> { request: ReceivedRequest, socket -> servers.answer("server-$number", request, socket) } })
-            if (case.isKept) repeat(2) { fixture.post("/once/$it", headers = mapOf("X-Request-Id" to "id-$it")).use { answer -> answer.body.string() } }
+            fixture.startServers(
+                *Array(2) { number ->
+                    {
+                        request: ReceivedRequest,
+                        socket,
+                        ->
+                        servers.answer("server-$number", request, socket)
+                    }
+                },
+            )
+            if (case.isKept) {
+                repeat(2) {
+                    fixture.post("/once/$it", headers = mapOf("X-Request-Id" to "id-$it")).use { answer ->
+                        answer.body.string()
+                    }
+                }
+            }
             Socket("127.0.0.1", fixture.port).use { socket ->
                 socket.soTimeout = TIMEOUT_MILLISECONDS
                 val reader = StrictResponseReader(socket.getInputStream(), case.caller.version)
@@ -76,7 +91,9 @@
                 count("caller NOT_RUN")
                 expectThat(runs).describedAs("runs of a request that is said not to have run, in $case").isEqualTo(0)
             }
-            else -> count("caller UNKNOWN")
+            else -> {
+                count("caller UNKNOWN")
+            }
         }
     }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/CaseServers.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/CaseServers.kt
@@ -198,8 +198,12 @@
                 listOf(wholeBody(name))
             }
         return when (framing) {
-            AnswerFraming.LENGTH -> Wire(head(name, CASE_ID, "${contentType()}Content-Length: ${parts.sumOf { it.length }}\r\n"), parts)
-            AnswerFraming.CLOSE -> Wire(head(name, CASE_ID, contentType()), parts)
+            AnswerFraming.LENGTH -> {
+                Wire(head(name, CASE_ID, "${contentType()}Content-Length: ${parts.sumOf { it.length }}\r\n"), parts)
+            }
+            AnswerFraming.CLOSE -> {
+                Wire(head(name, CASE_ID, contentType()), parts)
+            }
             AnswerFraming.CHUNKS -> {
                 val chunks = parts.map { "${it.length.toString(16)}\r\n$it\r\n" } + "0\r\n\r\n"
                 Wire(head(name, CASE_ID, "${contentType()}Transfer-Encoding: chunked\r\n"), chunks)
--- a/http/src/main/kotlin/org/ragwortlever/http/ResponseHeadCheck.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ResponseHeadCheck.kt
@@ -37,11 +37,18 @@
         headers: Headers,
     ): String? =
         when {
-            status !in VALID_STATUSES -> "the status $status is invalid"
-            headers.any { (name, value) -> !name.isToken() || value.any { it.isForbiddenInValue() } } -> "the head has an invalid line"
-            isFramingAmbiguous(headers.values("Content-Length"), headers.values("Transfer-Encoding")) ->
+            status !in VALID_STATUSES -> {
+                "the status $status is invalid"
+            }
+            headers.any { (name, value) -> !name.isToken() || value.any { it.isForbiddenInValue() } } -> {
+                "the head has an invalid line"
+            }
+            isFramingAmbiguous(headers.values("Content-Length"), headers.values("Transfer-Encoding")) -> {
                 "the headers do not determine the end of the body"
-            else -> null
+            }
+            else -> {
+                null
+            }
         }
 
     private fun String.isToken() = isNotEmpty() && all { it in 'a'..'z' || it in 'A'..'Z' || it in '0'..'9' || it in TOKEN_SYMBOLS }
