Take a stream that ends with its connection before any event for broken off

What callers could see: a 200 without content, or a resumed stream that ends as complete, because a server stopped after the head of an answer without a length; and events that are cut on a plain route or under another success status, which were buffered as plain answers. Cause: the rule for the end of a stream asked only for what came after the last event, and only on streamed answers. Now a stream whose end is marked by nothing but a close needs an event from that server, and buffered answers of events are checked in the same way. A server that has nothing left to send ends its continuation with a length or chunks.

BrokenStreamTest: 3 new tests failed before, 9 of 9 pass. All 173 tests of the answer path pass.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
@@ -5,6 +5,7 @@
 package org.ragwortlever.daemon.gateway
 
 import okio.BufferedSource
+import org.ragwortlever.core.answer.AnswerFraming
 import org.ragwortlever.core.answer.EventBuffer
 import org.ragwortlever.core.answer.EventSequence
 import org.ragwortlever.http.ChunkStream
@@ -29,17 +30,25 @@
     fun resume(
         failure: IOException,
         lastEventId: String?,
-    ): BufferedSource?
+    ): ServerEvents?
 }
 
+/** The events that one server sends of a stream; [framing] tells how their end is marked. */
+internal class ServerEvents(
+    val source: BufferedSource,
+    val framing: AnswerFraming,
+)
+
 /** What was passed on of a stream: [events] complete events of together [bytes] bytes. */
 internal data class StreamTotals(
     val bytes: Long,
     val events: Int,
 )
 
-/** A stream ended although its last event is incomplete, so its server has broken it off. */
-internal class PartialEventException : IOException("the stream ended within an event")
+/** The body of a stream ended without showing that the stream is complete, so its server may have broken it off. */
+internal class IncompleteStreamException(
+    reason: String,
+) : IOException(reason)
 
 /** The events of a stream do not follow each other; its server is faulty or did not continue where it was asked to. */
 internal class EventOrderException(
@@ -48,11 +57,12 @@
 
 /** The stream that the caller reads. Not thread-safe. */
 internal class ForwardedEventStream(
-    first: BufferedSource,
+    first: ServerEvents,
     private val source: StreamSource,
 ) : ChunkStream() {
     private var events = first
     private var buffer = EventBuffer()
+    private var hasServerSentEvents = false
     private val chunk = ByteArray(READ_BYTES)
     private var forwardedBytes = 0L
     private var forwardedEvents = 0
@@ -94,12 +104,13 @@
     private fun readEvents(): ByteArray? {
         while (true) {
             try {
-                val count = events.read(chunk)
+                val count = events.source.read(chunk)
                 if (count < 0) return complete()
                 takeCompleteEvents(count)?.let { return it }
             } catch (failure: IOException) {
                 if (!hasSentHead) throw failure.also { isEnded = true }
                 buffer = EventBuffer()
+                hasServerSentEvents = false
                 sequence.continueFromOtherServer()
                 events = source.resume(failure, sequence.lastId) ?: throw failure.also { breakOff() }
             }
@@ -108,7 +119,7 @@
 
     /** Ends the stream, whose body has ended by its framing. */
     private fun complete(): ByteArray? {
-        if (buffer.hasPartialEvent) throw PartialEventException()
+        buffer.checkEnd(events.framing, hasServerSentEvents)
         isEnded = true
         source.onCompleted(totals)
         return null
@@ -126,6 +137,7 @@
             return null
         }
         sequence.append(complete.ids)?.let { throw EventOrderException(it) }
+        if (complete.ids.isNotEmpty()) hasServerSentEvents = true
         forwardedBytes += complete.bytes.size
         forwardedEvents += complete.ids.size
         return complete.bytes
@@ -135,3 +147,22 @@
         const val READ_BYTES = 8192
     }
 }
+
+/**
+ * Checks that a stream whose body has ended may be complete.
+ *
+ * @param hasEvents whether the server has sent a complete event. Without one, a body that ends with its connection is an
+ *   answer that stopped after its head.
+ * @throws IncompleteStreamException if it is not.
+ */
+internal fun EventBuffer.checkEnd(
+    framing: AnswerFraming,
+    hasEvents: Boolean,
+) {
+    if (hasPartialEvent) throw IncompleteStreamException("the stream ended within an event")
+    if (framing == AnswerFraming.CLOSE &&
+        !hasEvents
+    ) {
+        throw IncompleteStreamException("the stream ended with its connection before any event")
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -10,7 +10,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.binding
 import com.github.michaelbull.result.getOrElse
-import okio.BufferedSource
 import org.http4k.core.Body
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -173,7 +172,7 @@
             if (request.route.kind == RouteKind.STREAM && response.isEventStream) return streamResponse(base, started, timeToFirstByte)
             val content =
                 try {
-                    response.body.readBytesUpTo(MAX_ANSWER_BYTES)
+                    response.body.readBytesUpTo(MAX_ANSWER_BYTES).also(response::checkContent)
                 } catch (failure: IOException) {
                     reportBreak(failure, "reading the response failed: $failure")
                     return null
@@ -202,7 +201,7 @@
             started: AttemptStart.ResponseStarted,
             timeToFirstByte: Duration,
         ): Response? {
-            val events = ForwardedEventStream(started.response.body.source(), RoutedStream(base.status.code, started, timeToFirstByte))
+            val events = ForwardedEventStream(started.response.serverEvents(), RoutedStream(base.status.code, started, timeToFirstByte))
             // The response head is sent with the first event, so that a server that fails before it can still be replaced.
             try {
                 events.prefetch()
@@ -337,7 +336,7 @@
             override fun resume(
                 failure: IOException,
                 lastEventId: String?,
-            ): BufferedSource? {
+            ): ServerEvents? {
                 call?.cancel()
                 val answer = failure.toAnswerEnd()
                 val mayResume = answer.use(request.route.repetition, hasSentEvents = true) == AnswerUse.RESUME
@@ -347,7 +346,7 @@
                     val decision = gateway.awaitDecision(submitted)
                     if (decision !is DispatchEffect.Send) return null
                     val next = sendAttempt(decision, lastEventId) ?: continue
-                    val fault = next.response.findContinuationFault() ?: return next.response.body.source()
+                    val fault = next.response.findContinuationFault() ?: return next.response.serverEvents()
                     next.response.close()
                     call?.cancel()
                     reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR), fault, AnswerEnd.Malformed)
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/BrokenStreamTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/BrokenStreamTest.kt
@@ -48,6 +48,41 @@
         expectThat(fixture.post("/stream/7").use { it.code }).isEqualTo(502)
     }
 
+    // Guards against a success without content, made of an answer that stopped after its head.
+    @Test
+    fun `given a stream without length and chunks, when its server closes before any event, then the caller is told that it failed`() {
+        fixture.startServers({ request, socket ->
+            socket.beginUnframedStream(request)
+            socket.close()
+        })
+        expectThat(fixture.post("/stream/7").use { it.code }).isEqualTo(502)
+    }
+
+    // Guards against a stream that ends as complete because the server that was to continue it stopped after its head.
+    @Test
+    fun `given a resumable stream, when the next server closes before any event, then the caller's stream breaks off`() {
+        val script = { request: ReceivedRequest, socket: Socket ->
+            socket.beginUnframedStream(request)
+            if (request.header("Last-Event-ID") == null) socket.write("id: 1\ndata: a\n\nid: 2\nda")
+            socket.close()
+        }
+        fixture.startServers(script, script)
+        fixture.post("/resumable/7").use { response -> expectThrows<IOException> { response.body.string() } }
+    }
+
+    // Guards against events that are cut in answers that are no streams by their route or status.
+    @Test
+    fun `given events on a plain route or with another status, when the server closes within one, then it is no success`() {
+        fixture.startServers({ request, socket ->
+            val status = if (request.line.contains("/stream/")) "206 Partial Content" else "200 OK"
+            socket.write("HTTP/1.1 $status\r\nX-Request-Id: ${request.header("X-Request-Id")}\r\nX-Answer-Signature: signed\r\n")
+            socket.write("Content-Type: text/event-stream\r\n\r\nid: 1\nda")
+            socket.close()
+        })
+        expectThat(fixture.post("/stream/7").use { it.code }).isEqualTo(502)
+        expectThat(fixture.post("/once/7").use { it.code }).isEqualTo(502)
+    }
+
     // Guards against a break that is not noticed, so that a resumable stream is not resumed.
     @Test
     fun `given a resumable stream without length, when its server closes within an event, then another server resumes it`() {
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/AnswerCase.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/AnswerCase.kt
@@ -36,7 +36,18 @@
 }
 
 /** What another server does when it gets the request, or the rest of the stream. */
-internal enum class NextServer { SOUND, ERROR, REFUSAL, NO_STREAM, NO_CONTENT, LATE_START, EARLY_START, CUT, ANSWER_TO_OTHER }
+internal enum class NextServer {
+    SOUND,
+    ERROR,
+    REFUSAL,
+    NO_STREAM,
+    NO_CONTENT,
+    LATE_START,
+    EARLY_START,
+    CUT,
+    CUT_AFTER_HEAD,
+    ANSWER_TO_OTHER,
+}
 
 /** How the caller speaks HTTP. */
 internal enum class CallerMode(
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/CaseServers.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/CaseServers.kt
@@ -145,9 +145,18 @@
             NextServer.LATE_START -> sendFrom(name, request, socket, offset = 1)
             NextServer.EARLY_START -> sendFrom(name, request, socket, offset = -1)
             NextServer.CUT -> socket.write(wire.text.take(wire.headLength - 2))
+            NextServer.CUT_AFTER_HEAD -> sendHead(wire, socket)
             NextServer.ANSWER_TO_OTHER -> socket.write(head(name, EARLIER_ID, "Content-Length: 5\r\n") + "other")
         }
-        if (case.next == NextServer.CUT || case.framing == AnswerFraming.CLOSE) socket.close()
+        if (case.next in CLOSING || case.framing == AnswerFraming.CLOSE) socket.close()
+    }
+
+    private fun sendHead(
+        wire: Wire,
+        socket: Socket,
+    ) {
+        if (case.framing == AnswerFraming.CLOSE && !case.route.isStream) completeBodies += ""
+        socket.write(wire.text.take(wire.headLength))
     }
 
     private fun sendNoStream(
@@ -179,7 +188,7 @@
     private fun wholeBody(name: String): String = if (case.route.isStream) case.allEvents.joinToString("") else "body of $name"
 
     private fun endsBetweenEvents(sent: String) =
-        (0..case.events).any { case.allEvents.take(it).joinToString("") == sent }
+        (1..case.events).any { case.allEvents.take(it).joinToString("") == sent }
 
     private fun run(id: String) = runs.merge(id, 1, Int::plus)
 
@@ -237,5 +246,6 @@
     companion object {
         const val CASE_ID = "id-case"
         const val EARLIER_ID = "id-0"
+        private val CLOSING = setOf(NextServer.CUT, NextServer.CUT_AFTER_HEAD)
     }
 }
