Give recorded outcomes of calls their length

Chunks are what HTTP/1.1 allows there, but the recorded body is in memory and its length is known, so the first answer and its replay are framed alike again.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/ServiceCallHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/ServiceCallHandler.kt
@@ -150,7 +150,8 @@
 
 private fun RecordedOutcome.toResponse(): Result<Response, Refusal> {
     val content = body ?: return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, bodyNotKept(status), Executed.UNKNOWN))
-    val response = Response(Status(status, "")).body(Base64.getDecoder().decode(content).inputStream())
+    val bytes = Base64.getDecoder().decode(content)
+    val response = Response(Status(status, "")).body(bytes.inputStream(), bytes.size.toLong())
     return Ok(contentType?.let { response.header("Content-Type", it) } ?: response)
 }
 
