--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
@@ -92,7 +92,7 @@
         expectThat(nextNodes()).isEqualTo(setOf("one"))
         expectThat(nextNodes()).isEqualTo(setOf("one", "two"))
         expectThat(nextNodes()).isEqualTo(setOf("two"))
-        expectThat(requestedRevisions.take(2)).containsExactly(10L, 12L)
+        expectThat(requestedRevisions.toList().take(2)).containsExactly(10L, 12L)
         expectThat(removedKeys).containsExactly(FleetKeys.node("one"))
     }
 
@@ -106,7 +106,7 @@
         nextNodes()
         expectThat(nextNodes()).isEqualTo(setOf("two"))
         expectThat(nextNodes()).isEqualTo(setOf("two", "three"))
-        expectThat(requestedRevisions.take(2)).containsExactly(10L, 50L)
+        expectThat(requestedRevisions.toList().take(2)).containsExactly(10L, 50L)
         // Removals in the compacted history are not reported; the listener detects them by keys missing from the listing.
         expectThat(listedKeys).containsExactly(setOf(FleetKeys.node("one")), setOf(FleetKeys.node("two")))
     }
@@ -119,6 +119,6 @@
         follower.start()
         nextNodes()
         expectThat(nextNodes()).isEqualTo(setOf("one", "two"))
-        expectThat(requestedRevisions.take(2)).containsExactly(10L, 10L)
+        expectThat(requestedRevisions.toList().take(2)).containsExactly(10L, 10L)
     }
 }
