--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -49,6 +49,9 @@
     val deadline: Instant,
 ) {
     val promptTokens: Int get() = parts.sumOf { it.tokens }
+
+    /** Ids of the parts that other requests may share: all but the last one. */
+    val sharedParts: List<String> get() = parts.dropLast(1).map { it.id }
 }
 
 /** How an attempt on a backend server ended. */
