Quarantine prompt parts that crash backend servers, for the whole fleet

Cause: crashes counted against digests of whole requests, and no two of these requests are alike. Besides, a crash counted only at a VM that saw both the break and the dead server, up to four seconds later, and crashes of one zone within two seconds excused each other. A completed run clears a part; what is quarantined has to explain crashes at several times that nothing else explains. The decider of the pool has the evidence of all VMs, because reports repeat the breaks of the last ten seconds and tell under which parts runs completed. A broken stream makes the VM check at once whether the server's process refuses connections. The decider tells all VMs directly and through the store; questions and replies carry the quarantined parts, so that new VMs and new deciders know them. A VM that reaches no decider decides by its own crashes.

--- a/bench/src/main/kotlin/org/ragwortlever/bench/pool/PoolRun.kt
+++ b/bench/src/main/kotlin/org/ragwortlever/bench/pool/PoolRun.kt
@@ -213,7 +213,7 @@
                 val decider = names.indexOf(effect.decider)
                 queue.after(HOP_SECONDS) { if (decider !in silent) tell(decider, DispatchEvent.ReportReceived(effect.report)) }
             }
-            is DispatchEffect.ReportCrash, is DispatchEffect.Answer -> {
+            is DispatchEffect.ReportCrash, is DispatchEffect.Answer, is DispatchEffect.CheckServer, is DispatchEffect.ReportQuarantine -> {
                 Unit
             }
         }
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -2,6 +2,7 @@
 package org.ragwortlever.core.dispatch
 
 import kotlinx.serialization.Serializable
+import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.backend.KnownServer
 import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.backend.ServerNotice
@@ -159,6 +160,17 @@
         val service: String,
     ) : DispatchEvent
 
+    /** The process of the server [id] that started at [incarnation] refuses connections. */
+    data class ServerUnreachable(
+        val id: String,
+        val incarnation: Long,
+    ) : DispatchEvent
+
+    /** Another entry VM has found [parts] that crash servers. */
+    data class QuarantineReceived(
+        val parts: List<QuarantinedPart>,
+    ) : DispatchEvent
+
     /** Another entry VM reports that [server] crashed while it ran requests with [digests]. */
     data class CrashReportReceived(
         val server: String,
@@ -243,6 +255,21 @@
         val report: PoolReport,
     ) : DispatchEffect
 
+    /** Checks whether the process of [server] takes connections; if not, posts a [DispatchEvent.ServerUnreachable]. */
+    data class CheckServer(
+        val server: BackendServer,
+    ) : DispatchEffect
+
+    /**
+     * Tells all other entry VMs that [part] must not run.
+     *
+     * @property processes the server processes that crashed under the part.
+     */
+    data class ReportQuarantine(
+        val part: QuarantinedPart,
+        val processes: Set<String>,
+    ) : DispatchEffect
+
     /** Reports to the other entry VMs that [server] crashed while it ran requests with [digests]. */
     data class ReportCrash(
         val server: String,
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -39,7 +39,8 @@
     private val options: DispatchOptions,
 ) {
     private val pool = ServerPool(options)
-    private val poolDecider = PoolDecider(pool)
+    private val quarantine = ContentQuarantine()
+    private val poolDecider = PoolDecider(pool, quarantine)
     private val deciderSelector = DeciderSelector(options.node)
     private val reporter = PoolReporter(options.node)
     private val open = LinkedHashMap<Long, OpenRequest>()
@@ -77,6 +78,8 @@
             is DispatchEvent.ServerNoticeReceived -> handleServerNotice(event, now, effects)
             is DispatchEvent.CallerDisconnected -> cancel(event.key, effects)
             is DispatchEvent.ServersChanged -> pool.replace(event.servers).forEach { confirmCrash(it, now, effects) }
+            is DispatchEvent.ServerUnreachable -> handleUnreachable(event, now, effects)
+            is DispatchEvent.QuarantineReceived -> quarantine.merge(event.parts, now)
             is DispatchEvent.TakenOutZonesChanged -> pool.zonesTakenOut = event.zones
             is DispatchEvent.NodesChanged -> updateNodes(event, now)
             is DispatchEvent.CrashReportReceived -> event.digests.forEach { suspects.recordFailure(it, event.server, event.zone, now) }
@@ -85,6 +88,7 @@
             is DispatchEvent.ReportDue -> if (reporter.isDue(event.service)) sendReport(event.service, now, effects)
             is DispatchEvent.HandOverDue -> handOver(event.service, now, effects)
         }
+        quarantine.takeUnannounced().mapTo(effects) { it.toEffect() }
         return effects
     }
 
@@ -93,12 +97,8 @@
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
-        if (suspects.isRefused(request.digest, now)) {
-            effects +=
-                DispatchEffect.Refuse(
-                    request.key,
-                    Refusal(ErrorKind.REQUEST_QUARANTINED, "requests with the same content crashed backend servers"),
-                )
+        if (isQuarantined(request, now)) {
+            effects += DispatchEffect.Refuse(request.key, quarantinedRefusal())
             return
         }
         val openRequest = OpenRequest(request, now)
@@ -132,12 +132,13 @@
         val attempt = openRequest.running ?: return
         attempt.server.running.remove(event.key)
         openRequest.running = null
-        scheduleReport(attempt, event.end.toReport(attempt.server.id), effects)
+        scheduleReport(attempt, event.end.toReport(attempt.server.id, openRequest.request.sharedParts), effects)
         when (val end = event.end) {
             AttemptEnd.Answered -> {
                 attempt.server.health.recordSuccess(now)
                 attempt.server.recordResponse(now)
                 suspects.recordCompletion(openRequest.request.digest, now)
+                quarantine.recordCompletion(attempt.server.known.server.service, openRequest.request.sharedParts, now)
                 open.remove(event.key)
             }
             is AttemptEnd.NotRun -> {
@@ -149,7 +150,7 @@
             is AttemptEnd.Failed -> {
                 attempt.server.recordFailure(end.failure, now)
                 openRequest.failedServers += attempt.server.id
-                if (end.failure == ServerFailure.BROKEN) attempt.server.recordBrokenAttempt(openRequest.request.digest, now)
+                if (end.failure == ServerFailure.BROKEN) recordBreak(attempt, now, effects)
                 if (openRequest.request.route.isRepeatable && end.canResume) {
                     retry(openRequest, end.failure, now, effects)
                 } else {
@@ -193,7 +194,7 @@
             timeLeft < MIN_TIME_TO_SEND -> refuse(openRequest, refusal, effects)
             openRequest.failedServers.size >= request.route.maximumAttempts -> refuse(openRequest, refusal, effects)
             openRequest.sendCount >= MAX_SENDS -> refuse(openRequest, refusal, effects)
-            suspects.isRefused(request.digest, now) -> refuse(openRequest, refusal, effects)
+            isQuarantined(request, now) -> refuse(openRequest, quarantinedRefusal(openRequest), effects)
             // A send that never reached the server adds no load there and is not charged to the retry budget.
             !failure.isBeforeSend && !retryBudgetOf(request.services.first()).tryTake(now) -> refuse(openRequest, refusal, effects)
             else -> send(openRequest, now, effects)
@@ -246,7 +247,10 @@
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
-        event.reply?.let { applyLimits(it.limits, now, effects) }
+        event.reply?.let {
+            applyLimits(it.limits, now, effects)
+            quarantine.merge(it.quarantined, now)
+        }
         val openRequest = open[event.key] ?: return
         val openQuestion = openRequest.openQuestion?.takeIf { it.number == event.number } ?: return
         if (event.reply == null) {
@@ -281,6 +285,7 @@
         // If this VM was paused meanwhile, the answer describes an outdated state of the pool.
         val isCurrent = now - openQuestion.askedAt <= MAX_ANSWER_AGE
         when {
+            answer is PoolAnswer.Quarantined -> refuse(openRequest, quarantinedRefusal(openRequest), effects)
             answer is PoolAnswer.Advised && isCurrent -> sendAsAdvised(openRequest, openQuestion, answer.advice, now, effects)
             answer is PoolAnswer.Refused && isCurrent -> refuse(openRequest, openRequest.waitExceededRefusal(answer), effects)
             else -> sendByLocalChoice(openRequest, now, effects)
@@ -305,6 +310,8 @@
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
+        openRequest.request.services.firstOrNull()?.let { quarantine.decideLocally(it.name, now) }
+        if (isQuarantined(openRequest.request, now)) return refuse(openRequest, quarantinedRefusal(openRequest), effects)
         val best = openRequest.request.services.firstNotNullOfOrNull { service ->
             pool.chooseServer(openRequest.request, service, openRequest.failedServers, openRequest.rejectingServers, now)
         }
@@ -398,6 +405,7 @@
         runningAttemptsAt(service),
         pendingQuestionsAt(service),
         pool.handOverLimits(service, now),
+        quarantine,
         now,
     )
 
@@ -407,12 +415,49 @@
     private fun pendingQuestionsAt(service: String): List<Long> =
         open.values.filter { it.request.services.firstOrNull()?.name == service }.mapNotNull { it.openQuestion?.number }
 
+    /**
+     * Records that [attempt] broke off; it may have crashed its server. A server that leaves breaks off what still runs
+     * there, so only one that takes requests counts.
+     */
+    private fun recordBreak(
+        attempt: RunningAttempt,
+        now: Instant,
+        effects: MutableList<DispatchEffect>,
+    ) {
+        val server = attempt.server
+        server.recordBrokenAttempt(attempt.request.digest, now)
+        if (pool.find(server.id) !== server || server.availability.isLeaving) return
+        quarantine.recordBreak(attempt, now)
+        effects += DispatchEffect.CheckServer(server.known.server)
+    }
+
+    private fun handleUnreachable(
+        event: DispatchEvent.ServerUnreachable,
+        now: Instant,
+        effects: MutableList<DispatchEffect>,
+    ) {
+        val server = pool.find(event.id)?.takeIf { it.known.server.incarnation == event.incarnation } ?: return
+        server.recordFailure(ServerFailure.UNREACHABLE, now)
+        confirmCrash(server, now, effects)
+        val service = server.known.server.service
+        reporter.recordChange(service, ReportedEnd(server.id, ServerFailure.UNREACHABLE))?.let { effects += it }
+        if (deciderSelector.deciderFor(service, now) == options.node) quarantine.decide(service, now)
+    }
+
+    private fun isQuarantined(
+        request: RoutedRequest,
+        now: Instant,
+    ): Boolean =
+        suspects.isRefused(request.digest, now) ||
+            request.services.any { quarantine.findQuarantined(it.name, request.sharedParts, now) != null }
+
     /** The process of [server] is gone: each attempt that recently broke off on it may have caused the crash. */
     private fun confirmCrash(
         server: ServerState,
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
+        quarantine.recordProcessGone(server, now)
         val digests = server.takeCrashSuspects(now)
         if (digests.isEmpty()) return
         digests.forEach { suspects.recordFailure(it, server.incarnationName, server.zone, now) }
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/OpenRequest.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/OpenRequest.kt
@@ -92,6 +92,14 @@
     }
 }
 
+/** Refuses a request for its content; [openRequest] is null for one that was never sent. */
+internal fun quarantinedRefusal(openRequest: OpenRequest? = null): Refusal =
+    if (openRequest?.mayHaveRun == true) {
+        serverFailedRefusal(ServerFailure.BROKEN)
+    } else {
+        Refusal(ErrorKind.REQUEST_QUARANTINED, "requests with the same content, or with a part of it, crashed backend servers")
+    }
+
 internal fun serverFailedRefusal(failure: ServerFailure): Refusal {
     val kind = if (failure == ServerFailure.SILENT) ErrorKind.BACKEND_SERVER_SILENT else ErrorKind.BACKEND_SERVER_FAILED
     return Refusal(kind, "a backend server that may have run the request failed: $failure", Executed.UNKNOWN)
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolDecider.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolDecider.kt
@@ -14,6 +14,7 @@
 /** Not thread-safe. */
 internal class PoolDecider(
     private val pool: ServerPool,
+    private val quarantine: ContentQuarantine = ContentQuarantine(),
 ) {
     private class NodeWork(
         val sequence: Long,
@@ -43,7 +44,9 @@
         report: PoolReport,
         now: Instant,
     ) {
-        report.ends.forEach { end -> pool.find(end.server)?.recordEnd(end.failure, now) }
+        report.ends.forEach { recordEnd(it, now) }
+        quarantine.apply(report, now)
+        quarantine.decide(report.service, now)
         report.notices.forEach { pool.recordNotice(it.server, it.incarnation, it.toNotice(), now) }
         val source = Source(report.node, report.service)
         val before = workBySource[source]
@@ -59,7 +62,19 @@
     fun reply(
         question: PoolQuestion,
         now: Instant,
-    ) = PoolReply(answer(question, now), pool.reportLimits(question.report.service, now))
+    ): PoolReply {
+        val service = question.report.service
+        return PoolReply(answer(question, now), pool.reportLimits(service, now), quarantine.reportQuarantined(service, now))
+    }
+
+    private fun recordEnd(
+        end: ReportedEnd,
+        now: Instant,
+    ) {
+        val server = pool.find(end.server) ?: return
+        if (end.failure == ServerFailure.UNREACHABLE) quarantine.recordProcessGone(server, now)
+        server.recordEnd(end.failure, now)
+    }
 
     /** Answers the [question] of another VM. */
     fun answer(
@@ -80,13 +95,19 @@
     fun answerLocal(
         question: PoolQuestion,
         now: Instant,
-    ): PoolAnswer =
-        when (val decision = admission.decide(question, now)) {
+    ): PoolAnswer {
+        quarantine.decide(question.report.service, now)
+        if (quarantine.findQuarantined(question.report.service, question.sharedParts, now) != null) {
+            admission.queue.remove(question.report.node, question.number)
+            return PoolAnswer.Quarantined
+        }
+        return when (val decision = admission.decide(question, now)) {
             is AdmissionDecision.Admit -> advise(question, decision.score, now)
             is AdmissionDecision.Wait -> PoolAnswer.Wait(decision.delay.inWholeMilliseconds)
             is AdmissionDecision.Refuse -> PoolAnswer.Refused(decision.retryAfter.inWholeMilliseconds)
             AdmissionDecision.NoServer -> PoolAnswer.NoServer
         }
+    }
 
     private fun advise(
         question: PoolQuestion,
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolMessages.kt
@@ -22,11 +22,40 @@
     val tier: Int = 0,
 )
 
-/** How an attempt on [server] ended; [failure] is null after a complete answer. */
+/**
+ * How an attempt on [server] ended; [failure] is null after a complete answer.
+ *
+ * @property parts parts of the answered prompt that other requests may share; empty after a failure.
+ */
 @Serializable
 data class ReportedEnd(
     val server: String,
     val failure: ServerFailure?,
+    val parts: List<String> = emptyList(),
+)
+
+/**
+ * An attempt that broke off on the server process [process].
+ *
+ * @property isCrash whether the process is known to be gone.
+ * @property parts parts of the attempt's prompt that other requests may share.
+ * @property sound those of [parts] under which the reporting VM has seen a request complete.
+ */
+@Serializable
+data class ReportedBreak(
+    val process: String,
+    val ageMilliseconds: Long,
+    val isCrash: Boolean,
+    val parts: Set<String>,
+    val sound: Set<String> = emptySet(),
+)
+
+/** A prompt part that crashes servers of [service] and must not run there; found [ageMilliseconds] ago. */
+@Serializable
+data class QuarantinedPart(
+    val service: String,
+    val part: String,
+    val ageMilliseconds: Long,
 )
 
 /**
@@ -70,6 +99,8 @@
  * @property ends attempts that ended since the last report.
  * @property notices notices that servers sent since the last report.
  * @property limits request limits of servers, with what this VM may send under them.
+ * @property breaks attempts of this VM that broke off in the last seconds.
+ * @property quarantined prompt parts that this VM knows to crash servers of the service.
  */
 @Serializable
 data class PoolReport(
@@ -81,6 +112,8 @@
     val ends: List<ReportedEnd>,
     val notices: List<ReportedNotice> = emptyList(),
     val limits: List<ReportedLimit> = emptyList(),
+    val breaks: List<ReportedBreak> = emptyList(),
+    val quarantined: List<QuarantinedPart> = emptyList(),
 )
 
 /**
@@ -114,6 +147,9 @@
 ) {
     val promptTokens: Int get() = parts.sumOf { it.tokens }
 
+    /** Ids of the parts that other requests may share: all but the last one. */
+    val sharedParts: List<String> get() = parts.dropLast(1).map { it.id }
+
     /** Tokens of the last part, which no other request shares. */
     val ownTokens: Int get() = parts.lastOrNull()?.tokens ?: 0
 }
@@ -157,14 +193,19 @@
         val retryAfterMilliseconds: Long,
     ) : PoolAnswer
 
+    /** The request has a prompt part that crashes servers; it must not run. */
+    @Serializable
+    data object Quarantined : PoolAnswer
+
     /** The decider knows no suitable server. */
     @Serializable
     data object NoServer : PoolAnswer
 }
 
-/** An [answer] together with the request limits of the service's servers that the decider knows. */
+/** An [answer] together with the request limits of the service's servers and the quarantined parts that the decider knows. */
 @Serializable
 data class PoolReply(
     val answer: PoolAnswer,
     val limits: List<ReportedLimit> = emptyList(),
+    val quarantined: List<QuarantinedPart> = emptyList(),
 )
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolReporter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolReporter.kt
@@ -58,14 +58,15 @@
     }
 
     /**
-     * Builds the report on the open [attempts], [pending] questions and [limits] at [service], and clears the recorded
-     * changes.
+     * Builds the report on the open [attempts], [pending] questions, [limits] and [quarantine] at [service], and clears the
+     * recorded changes.
      */
     fun createReport(
         service: String,
         attempts: List<RunningAttempt>,
         pending: List<Long>,
         limits: List<ReportedLimit>,
+        quarantine: ContentQuarantine,
         now: Instant,
     ): PoolReport {
         val changes = unreported.remove(service)
@@ -74,7 +75,18 @@
         sequence = maxOf(sequence + 1, now.toEpochMilliseconds())
         val open = attempts.map { ReportedAttempt(it.server.id, it.unreadTokens, it.heldTokens, it.request.tier) }
         val ends = changes?.ends.orEmpty().toList()
-        return PoolReport(node, service, sequence, open, pending, ends, changes?.notices.orEmpty().toList(), limits)
+        return PoolReport(
+            node,
+            service,
+            sequence,
+            open,
+            pending,
+            ends,
+            changes?.notices.orEmpty().toList(),
+            limits,
+            quarantine.reportBreaks(service, now),
+            quarantine.reportQuarantined(service, now),
+        )
     }
 
     private companion object {
@@ -86,10 +98,13 @@
     }
 }
 
-/** Converts the end of an attempt for the report; null when it says nothing about the server's health. */
-internal fun AttemptEnd.toReport(server: String): ReportedEnd? =
+/** Converts the end of an attempt with [parts] for the report; null when it says nothing about the server's health. */
+internal fun AttemptEnd.toReport(
+    server: String,
+    parts: List<String>,
+): ReportedEnd? =
     when (this) {
-        AttemptEnd.Answered -> ReportedEnd(server, null)
+        AttemptEnd.Answered -> ReportedEnd(server, null, parts)
         is AttemptEnd.NotRun -> ReportedEnd(server, failure).takeUnless { failure == ServerFailure.BUSY || failure.isLocal }
         is AttemptEnd.Failed -> ReportedEnd(server, failure)
     }
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetRecords.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetRecords.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.ragwortlever.core.backend.BackendServer
+import org.ragwortlever.core.key.sha256Hex
 import org.ragwortlever.core.route.RoutingDocument
 
 /** A store entry, or its removal, decoded as an event of the fleet. */
@@ -43,6 +44,10 @@
     data class CrashReported(
         val crash: CrashRecord,
     ) : FleetRecord
+
+    data class PartQuarantined(
+        val quarantine: QuarantineRecord,
+    ) : FleetRecord
 }
 
 /**
@@ -98,11 +103,26 @@
     fun encode(): String = Json.encodeToString(serializer(), this)
 }
 
+/**
+ * A prompt part that crashes servers of [service].
+ *
+ * @property sinceMilliseconds when it was found, in milliseconds since 1970.
+ */
+@Serializable
+data class QuarantineRecord(
+    val service: String,
+    val part: String,
+    val sinceMilliseconds: Long,
+) {
+    fun encode(): String = Json.encodeToString(serializer(), this)
+}
+
 /** Store keys of the entry VMs' records, and their decoding. */
 object FleetKeys {
     const val PREFIX: String = "ragwortlever/fleet/"
     private const val NODES = PREFIX + "nodes/"
     private const val CRASHES = PREFIX + "crashes/"
+    private const val QUARANTINES = PREFIX + "quarantines/"
 
     /** Key of the entry VM [name]. */
     fun node(name: String): String = NODES + name
@@ -113,15 +133,30 @@
         number: Long,
     ): String = "$CRASHES$node/$number"
 
+    /** Key of the quarantine of [part] at [service]; a digest, because callers choose the length of [part]. */
+    fun quarantine(
+        service: String,
+        part: String,
+    ): String = QUARANTINES + sha256Hex("$service\n$part".toByteArray())
+
     /** Decodes the store entry [key] with [value]; null if the key is of another kind or the value is malformed. */
     fun decode(
         key: String,
         value: String,
     ): FleetRecord? =
         when {
-            key.startsWith(NODES) -> decoded { FleetRecord.NodeRegistered(Json.decodeFromString(NodeRecord.serializer(), value)) }
-            key.startsWith(CRASHES) -> decoded { FleetRecord.CrashReported(Json.decodeFromString(CrashRecord.serializer(), value)) }
-            else -> null
+            key.startsWith(NODES) -> {
+                decoded { FleetRecord.NodeRegistered(Json.decodeFromString(NodeRecord.serializer(), value)) }
+            }
+            key.startsWith(CRASHES) -> {
+                decoded { FleetRecord.CrashReported(Json.decodeFromString(CrashRecord.serializer(), value)) }
+            }
+            key.startsWith(QUARANTINES) -> {
+                decoded { FleetRecord.PartQuarantined(Json.decodeFromString(QuarantineRecord.serializer(), value)) }
+            }
+            else -> {
+                null
+            }
         }
 
     /** Returns the record for the removal of [key]; null if no record depends on it. */
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -46,7 +46,7 @@
             is FleetRecord.ZoneBroughtBack -> zonesTakenOut -= record.zone
             is FleetRecord.NodeRegistered -> register(record.node)
             is FleetRecord.NodeRemoved -> unregister(record.name, now)
-            is FleetRecord.CrashReported -> return null
+            is FleetRecord.CrashReported, is FleetRecord.PartQuarantined -> return null
         }
         return when (record) {
             is FleetRecord.ServerAnnounced, is FleetRecord.ServerRemoved -> FleetChange.SERVERS
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartSimulation.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartSimulation.kt
@@ -1,6 +1,7 @@
 // Test fixture: entry VMs, engines and callers in virtual time, where one part of a prompt crashes the engine that runs it.
 package org.ragwortlever.core.dispatch
 
+import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.backend.KnownServer
 import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.backend.server
@@ -49,6 +50,13 @@
     /** VMs that no other VM and no broadcast reaches, and that reach no other VM. */
     val cutOff = HashSet<String>()
 
+    /** Whether what is found is kept from VMs that start later. */
+    var isStoreDown = false
+    private val stored = ArrayList<QuarantinedPart>()
+
+    /** Parts that deciders have found, in order. */
+    val found = ArrayList<String>()
+
     /** Part that crashes the engine that begins to answer a request with it; null for a run without one. */
     var culprit: String? = "culprit"
 
@@ -80,6 +88,7 @@
     fun startVm(name: String) {
         dispatchers[name] = Dispatcher(DispatchOptions(name, "a"))
         dispatchers.keys.forEach(::introduce)
+        handle(name, DispatchEvent.QuarantineReceived(stored))
     }
 
     /** Removes the VM [name] with all that it knew. */
@@ -181,17 +190,53 @@
         request: RoutedRequest?,
     ) {
         when (effect) {
-            is DispatchEffect.Ask -> ask(vm, effect, checkNotNull(request))
-            is DispatchEffect.Send -> send(vm, effect, checkNotNull(request))
-            is DispatchEffect.Refuse -> if (request?.isCulprit == false && effect.isQuarantine) soundQuarantined++
-            is DispatchEffect.Report -> if (canReach(vm, effect.decider)) handle(effect.decider, DispatchEvent.ReportReceived(effect.report))
-            is DispatchEffect.ScheduleReport -> after(effect.delay) { handle(vm, DispatchEvent.ReportDue(effect.service)) }
-            is DispatchEffect.ScheduleQuestion ->
+            is DispatchEffect.Ask -> {
+                ask(vm, effect, checkNotNull(request))
+            }
+            is DispatchEffect.Send -> {
+                send(vm, effect, checkNotNull(request))
+            }
+            is DispatchEffect.Refuse -> {
+                if (request?.isCulprit == false && effect.isQuarantine) soundQuarantined++
+            }
+            is DispatchEffect.Report -> {
+                if (canReach(vm, effect.decider)) handle(effect.decider, DispatchEvent.ReportReceived(effect.report))
+            }
+            is DispatchEffect.ScheduleReport -> {
+                after(effect.delay) { handle(vm, DispatchEvent.ReportDue(effect.service)) }
+            }
+            is DispatchEffect.ScheduleQuestion -> {
                 after(effect.delay) { handle(vm, DispatchEvent.QuestionDue(effect.key, effect.number), request) }
-            else -> Unit
+            }
+            is DispatchEffect.CheckServer -> {
+                check(vm, effect.server)
+            }
+            is DispatchEffect.ReportQuarantine -> {
+                announce(vm, effect.part)
+            }
+            else -> {
+                Unit
+            }
         }
     }
 
+    private fun check(
+        vm: String,
+        server: BackendServer,
+    ) = after(CHECK_TIME) {
+        if (server.id in down) handle(vm, DispatchEvent.ServerUnreachable(server.id, server.incarnation))
+    }
+
+    /** Tells the other VMs at once and keeps the part for VMs that start later, unless the store is down. */
+    private fun announce(
+        vm: String,
+        part: QuarantinedPart,
+    ) {
+        found += part.part
+        if (!isStoreDown) stored += part
+        dispatchers.keys.filter { it != vm && canReach(vm, it) }.forEach { handle(it, DispatchEvent.QuarantineReceived(listOf(part))) }
+    }
+
     private val DispatchEffect.Refuse.isQuarantine get() = refusal.kind.code == "request-quarantined"
 
     private fun canReach(
@@ -253,6 +298,7 @@
     companion object {
         val SERVICE = ServiceDefinition("engines", 100, coldRequestsPerSecond = 8.0, engine = EngineSize(64, 200_000))
         val RESTART_TIME = 3.seconds
+        private val CHECK_TIME = 30.milliseconds
         private val FIRST_BYTE_TIME = 80.milliseconds
         private val RUN_TIME = 900.milliseconds
     }
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/LimitedServerSimulation.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/LimitedServerSimulation.kt
@@ -210,7 +210,7 @@
             is DispatchEffect.Report -> {
                 network.send(vm, effect.decider) { handle(effect.decider, DispatchEvent.ReportReceived(effect.report)) }
             }
-            is DispatchEffect.ReportCrash, is DispatchEffect.Answer -> {
+            is DispatchEffect.ReportCrash, is DispatchEffect.Answer, is DispatchEffect.CheckServer, is DispatchEffect.ReportQuarantine -> {
                 Unit
             }
         }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -44,6 +44,9 @@
     /** An entry VM has reported the crash of a backend server. */
     fun onCrashReported(record: FleetRecord.CrashReported)
 
+    /** An entry VM has found a prompt part that crashes backend servers. May be called several times for the same part. */
+    fun onPartQuarantined(record: FleetRecord.PartQuarantined)
+
     /** The entry [key] was removed from the store. */
     fun onKeyRemoved(key: String)
 
@@ -112,7 +115,8 @@
         feed.readPrefix(decoder.prefix).fold(
             success = { read ->
                 markStoreAnswered()
-                view.replaceAll(read.entries.mapNotNull(::decode), now())
+                val records = read.entries.mapNotNull(::decode)
+                view.replaceAll(records, now())
                 revision = read.revision
                 log.reset(read.revision, now())
                 logger.info {
@@ -123,6 +127,7 @@
                         "nodes" to view.nodes.size,
                     )
                 }
+                records.forEach(::notifyIfQuarantine)
                 listener.onFleetChanged(view, FleetChange.entries.toSet())
                 listener.onKeysListed(read.entries.mapTo(HashSet()) { it.key })
                 true
@@ -159,6 +164,7 @@
                     is StoreChange.Removed -> FleetKeys.removal(change.key) ?: decoder.decodeRemoval(change.key)
                 }
             if (record is FleetRecord.CrashReported) listener.onCrashReported(record)
+            record?.let(::notifyIfQuarantine)
             record?.let { apply(it) }?.let { changes += it }
         }
         revision = answer.revision
@@ -166,6 +172,10 @@
         if (changes.isNotEmpty()) listener.onFleetChanged(view, changes)
     }
 
+    private fun notifyIfQuarantine(record: FleetRecord) {
+        if (record is FleetRecord.PartQuarantined) listener.onPartQuarantined(record)
+    }
+
     private fun apply(record: FleetRecord): FleetChange? {
         if (record is FleetRecord.ServerAnnounced) logServerIfChanged(record.server)
         if (record is FleetRecord.ServerRemoved) logger.info { eventLine("server-gone", "server" to record.id) }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -13,6 +13,7 @@
 import org.ragwortlever.core.dispatch.DispatchEvent
 import org.ragwortlever.core.dispatch.DispatchOptions
 import org.ragwortlever.core.dispatch.Dispatcher
+import org.ragwortlever.core.dispatch.QuarantinedPart
 import org.ragwortlever.core.dispatch.ServiceRetryLimit
 import org.ragwortlever.core.fleet.ChangeLog
 import org.ragwortlever.core.fleet.CrashRecord
@@ -20,6 +21,7 @@
 import org.ragwortlever.core.fleet.FleetRecord
 import org.ragwortlever.core.fleet.FleetView
 import org.ragwortlever.core.fleet.NodeRecord
+import org.ragwortlever.core.fleet.QuarantineRecord
 import org.ragwortlever.core.fleet.ServiceLoad
 import org.ragwortlever.core.fleet.selectEntryVms
 import org.ragwortlever.core.fleet.total
@@ -35,6 +37,7 @@
 import org.ragwortlever.daemon.gateway.RequestObserver
 import org.ragwortlever.daemon.gateway.RoutedHeaderNames
 import org.ragwortlever.daemon.gateway.RoutedRequestHandler
+import org.ragwortlever.daemon.gateway.ServerCheck
 import org.ragwortlever.daemon.gateway.ServerClient
 import org.ragwortlever.daemon.limits
 import org.ragwortlever.daemon.platform.ChangeFeed
@@ -107,8 +110,10 @@
     private val crashReporter = CrashReporter(settings.nodeId, ports.store)
     private val registration = NodeRegistration(record, ports.store, { feed.isRelayed }, ::loadToRegister)
     private val dispatcher = Dispatcher(DispatchOptions(settings.nodeId, settings.zone, settings.serviceRetryLimit()))
-    private val poolDeciderClient = PoolDeciderClient(peers, { nodes }, ::reportCrash)
-    private val gateway = DispatchGateway(controlLoop, dispatcher, clock, poolDeciderClient)
+    private val poolDeciderClient = PoolDeciderClient(peers, { nodes }, ::reportCrash, ::reportQuarantine)
+    private val quarantineAnnouncer = QuarantineAnnouncer(peers, ::otherVms)
+    private val serverCheck = ServerCheck()
+    private val gateway = DispatchGateway(controlLoop, dispatcher, clock, poolDeciderClient, serverCheck)
     private val serverClient = ServerClient(ports.headers)
     private val follower = FleetFollower(feed, ports.decoder, FleetUpdateListener(), clock::now, changeLog)
 
@@ -206,6 +211,8 @@
         httpServer.stop()
         serverClient.close()
         poolDeciderClient.close()
+        quarantineAnnouncer.close()
+        serverCheck.close()
         controlLoop.close()
     }
 
@@ -222,6 +229,13 @@
         crashReporter.report(CrashRecord(crash.server, crash.zone, crash.digests))
     }
 
+    private fun reportQuarantine(quarantine: DispatchEffect.ReportQuarantine) {
+        val part = quarantine.part
+        logger.warn { eventLine("part-quarantined", "service" to part.service, "part" to part.part, "crashed" to quarantine.processes) }
+        quarantineAnnouncer.announce(part)
+        crashReporter.report(QuarantineRecord(part.service, part.part, clock.now().toEpochMilliseconds()))
+    }
+
     private fun otherVms(): List<NodeRecord> = nodes.values.filter { it.name != settings.nodeId }
 
     /** Processor cores by name of the entry VMs that can decide for pools of backend servers. */
@@ -243,6 +257,10 @@
             peerEndpoint(Relay.ROUTE, relay::handle),
             peerEndpoint(UsageForwarder.ROUTE, usageForwarder::writeForwarded),
             peerEndpoint(PoolDeciderClient.QUESTION_ROUTE, gateway::answer),
+            peerEndpoint(QuarantineAnnouncer.ROUTE) { part ->
+                gateway.post(DispatchEvent.QuarantineReceived(listOf(part)))
+                QuarantineAcknowledgement
+            },
             peerEndpoint(PoolDeciderClient.REPORT_ROUTE) { report ->
                 gateway.post(DispatchEvent.ReportReceived(report))
                 ReportAcknowledgement
@@ -284,6 +302,13 @@
         override fun onCrashReported(record: FleetRecord.CrashReported) =
             gateway.post(DispatchEvent.CrashReportReceived(record.crash.server, record.crash.zone, record.crash.digests))
 
+        override fun onPartQuarantined(record: FleetRecord.PartQuarantined) {
+            val quarantine = record.quarantine
+            val age = (clock.now() - Instant.fromEpochMilliseconds(quarantine.sinceMilliseconds)).coerceAtLeast(Duration.ZERO)
+            val part = QuarantinedPart(quarantine.service, quarantine.part, age.inWholeMilliseconds)
+            gateway.post(DispatchEvent.QuarantineReceived(listOf(part)))
+        }
+
         private fun applyConfiguration(view: FleetView) {
             val document = view.document ?: return
             val previous = activeRoutes.table
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/PoolDeciderClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/PoolDeciderClient.kt
@@ -28,11 +28,13 @@
  *
  * @param nodes the entry VMs by name.
  * @param onCrash receives the server crashes that this VM reports.
+ * @param onQuarantine receives the prompt parts that this VM, as the decider, has found to crash servers.
  */
 internal class PoolDeciderClient(
     private val peers: PeerClient,
     private val nodes: () -> Map<String, NodeRecord>,
     private val onCrash: (DispatchEffect.ReportCrash) -> Unit,
+    private val onQuarantine: (DispatchEffect.ReportQuarantine) -> Unit,
 ) : DispatchPeers,
     AutoCloseable {
     private val reportExecutor =
@@ -72,6 +74,8 @@
 
     override fun reportCrash(crash: DispatchEffect.ReportCrash) = onCrash(crash)
 
+    override fun reportQuarantine(quarantine: DispatchEffect.ReportQuarantine) = onQuarantine(quarantine)
+
     override fun close() {
         reportExecutor.shutdownNow()
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/DispatchGateway.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/DispatchGateway.kt
@@ -48,6 +48,9 @@
 
     /** Reports [crash] to all other entry VMs. Does not block. */
     fun reportCrash(crash: DispatchEffect.ReportCrash)
+
+    /** Tells all other entry VMs of the [quarantine]. Does not block. */
+    fun reportQuarantine(quarantine: DispatchEffect.ReportQuarantine)
 }
 
 /** Runs [dispatcher] on the control thread of [control]. Thread-safe. */
@@ -56,6 +59,7 @@
     private val dispatcher: Dispatcher,
     private val clock: Clock,
     private val peers: DispatchPeers,
+    private val serverCheck: ServerCheck,
 ) {
     private val submittedRequests = ConcurrentHashMap<Long, SubmittedRequest>()
 
@@ -107,13 +111,35 @@
 
     private fun execute(effect: DispatchEffect) {
         when (effect) {
-            is DispatchEffect.Decision -> submittedRequests[effect.key]?.addDecision(effect)
-            is DispatchEffect.ReportCrash -> peers.reportCrash(effect)
-            is DispatchEffect.Report -> peers.report(effect.decider, effect.report)
-            is DispatchEffect.ScheduleReport -> control.after(effect.delay) { post(DispatchEvent.ReportDue(effect.service)) }
-            is DispatchEffect.ScheduleQuestion -> control.after(effect.delay) { post(DispatchEvent.QuestionDue(effect.key, effect.number)) }
-            is DispatchEffect.ScheduleHandOver -> control.after(effect.delay) { post(DispatchEvent.HandOverDue(effect.service)) }
-            is DispatchEffect.Answer -> Unit
+            is DispatchEffect.Decision -> {
+                submittedRequests[effect.key]?.addDecision(effect)
+            }
+            is DispatchEffect.ReportCrash -> {
+                peers.reportCrash(effect)
+            }
+            is DispatchEffect.ReportQuarantine -> {
+                peers.reportQuarantine(effect)
+            }
+            is DispatchEffect.CheckServer -> {
+                serverCheck.check(effect.server) {
+                    post(DispatchEvent.ServerUnreachable(effect.server.id, effect.server.incarnation))
+                }
+            }
+            is DispatchEffect.Report -> {
+                peers.report(effect.decider, effect.report)
+            }
+            is DispatchEffect.ScheduleReport -> {
+                control.after(effect.delay) { post(DispatchEvent.ReportDue(effect.service)) }
+            }
+            is DispatchEffect.ScheduleQuestion -> {
+                control.after(effect.delay) { post(DispatchEvent.QuestionDue(effect.key, effect.number)) }
+            }
+            is DispatchEffect.ScheduleHandOver -> {
+                control.after(effect.delay) { post(DispatchEvent.HandOverDue(effect.service)) }
+            }
+            is DispatchEffect.Answer -> {
+                Unit
+            }
         }
     }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
@@ -10,6 +10,7 @@
 import org.ragwortlever.core.fleet.FleetRecord
 import org.ragwortlever.core.fleet.FleetView
 import org.ragwortlever.core.fleet.NodeRecord
+import org.ragwortlever.core.fleet.QuarantineRecord
 import org.ragwortlever.core.store.StoreChange
 import org.ragwortlever.core.store.StoreChanges
 import org.ragwortlever.core.store.StoreEntry
@@ -32,6 +33,7 @@
     private val observedNodes = LinkedBlockingQueue<Set<String>>()
     private val removedKeys = CopyOnWriteArrayList<String>()
     private val listedKeys = CopyOnWriteArrayList<Set<String>>()
+    private val quarantinedParts = CopyOnWriteArrayList<String>()
     private val feed =
         object : ChangeFeed {
             override val pause = Duration.ZERO
@@ -66,6 +68,10 @@
 
             override fun onCrashReported(record: FleetRecord.CrashReported) = Unit
 
+            override fun onPartQuarantined(record: FleetRecord.PartQuarantined) {
+                quarantinedParts += record.quarantine.part
+            }
+
             override fun onKeysListed(keys: Set<String>) {
                 listedKeys += keys
             }
@@ -111,6 +117,20 @@
         expectThat(listedKeys).containsExactly(setOf(FleetKeys.node("one")), setOf(FleetKeys.node("two")))
     }
 
+    @Test
+    fun `given quarantined parts in the store, when a VM lists all entries, then it learns of them before it serves`() {
+        val quarantine = QuarantineRecord("engines", "culprit", 1000)
+        listings +=
+            Ok(StoreRead(10, listOf(node("one"), StoreEntry(FleetKeys.quarantine("engines", "culprit"), quarantine.encode(), 2, 2))))
+        val second = StoreEntry(FleetKeys.quarantine("engines", "other"), quarantine.copy(part = "other").encode(), 11, 11)
+        changes += Ok(StoreChanges.Since(11, listOf(StoreChange.Put(second), StoreChange.Put(node("two")))))
+        follower.start()
+        nextNodes()
+        expectThat(quarantinedParts.first()).isEqualTo("culprit")
+        nextNodes()
+        expectThat(quarantinedParts).containsExactly("culprit", "other")
+    }
+
     @Test
     fun `given an unavailable store, when it responds again, then changes are requested from the same revision`() {
         listings += Ok(StoreRead(10, listOf(node("one"))))
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
@@ -36,7 +36,8 @@
 internal class RoutedRequestFixture : AutoCloseable {
     private val control = ControlLoop()
     private val dispatcher = Dispatcher(DispatchOptions("vm-1", "a"))
-    private val gateway = DispatchGateway(control, dispatcher, Clock.System, UnreachablePeers)
+    private val serverCheck = ServerCheck()
+    private val gateway = DispatchGateway(control, dispatcher, Clock.System, UnreachablePeers, serverCheck)
     private val headerNames = RoutedHeaderNames()
     private val serverClient = ServerClient(headerNames)
     private val servers = ArrayList<ScriptedServer>()
@@ -138,6 +139,7 @@
     override fun close() {
         listeners.stop()
         serverClient.close()
+        serverCheck.close()
         control.close()
         servers.forEach { it.close() }
     }
@@ -155,6 +157,8 @@
         ) = Unit
 
         override fun reportCrash(crash: DispatchEffect.ReportCrash) = Unit
+
+        override fun reportQuarantine(quarantine: DispatchEffect.ReportQuarantine) = Unit
     }
 
     private fun route(
