Count each crash once for a request, and read the crashes before a start

Cause: a crash report comes back to its own VM from the store, from every VM that had the request, and with each listing; reports of one process that are more than a second apart counted as two crashes, so an innocent request could be refused for one crash. A VM that starts or lists the store anew was told of no crash at all. Change: CrashSuspects.recordCrash counts a server process once for each digest; FleetFollower passes crash reports of a listing to its listener. Result: DispatcherTest (one crash reported three times) and FleetFollowerTest (a listing with a crash report) failed before (refused; [] in place of [i-1@1]) and pass.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -82,7 +82,7 @@
             is DispatchEvent.QuarantineReceived -> quarantine.merge(event.parts, now)
             is DispatchEvent.TakenOutZonesChanged -> pool.zonesTakenOut = event.zones
             is DispatchEvent.NodesChanged -> updateNodes(event, now)
-            is DispatchEvent.CrashReportReceived -> event.digests.forEach { suspects.recordFailure(it, event.server, event.zone, now) }
+            is DispatchEvent.CrashReportReceived -> suspects.recordCrash(event.server, event.zone, event.digests, now)
             is DispatchEvent.QuestionReceived -> effects += DispatchEffect.Answer(poolDecider.reply(event.question, now))
             is DispatchEvent.ReportReceived -> poolDecider.applyReport(event.report, now)
             is DispatchEvent.ReportDue -> if (reporter.isDue(event.service)) sendReport(event.service, now, effects)
@@ -460,7 +460,7 @@
         quarantine.recordProcessGone(server, now)
         val digests = server.takeCrashSuspects(now)
         if (digests.isEmpty()) return
-        digests.forEach { suspects.recordFailure(it, server.incarnationName, server.zone, now) }
+        suspects.recordCrash(server.incarnationName, server.zone, digests, now)
         effects += DispatchEffect.ReportCrash(server.incarnationName, server.zone, digests)
     }
 
--- a/core/src/main/kotlin/org/ragwortlever/core/retry/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/retry/CrashSuspects.kt
@@ -13,6 +13,19 @@
     private val crashesByDigest = HashMap<String, MutableList<ServerCrash>>()
     private val recentByZone = HashMap<String, ArrayDeque<ServerCrash>>()
 
+    /**
+     * Records that the server process [process] crashed while it ran requests with [digests]. Counts once for each digest,
+     * whoever reports the crash and however often.
+     */
+    fun recordCrash(
+        process: String,
+        zone: String,
+        digests: Set<String>,
+        now: Instant,
+    ) = digests
+        .filter { digest -> crashesByDigest[digest].orEmpty().none { it.server == process } }
+        .forEach { recordFailure(it, process, zone, now) }
+
     /** Records that an attempt with [digest] ended because [server] in [zone] failed. */
     fun recordFailure(
         digest: String,
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/DispatcherTest.kt
@@ -168,6 +168,17 @@
         expectThat(fixture.submit(fixture.request(digest = "harmless"))).isNotNull()
     }
 
+    // Guards against a request that is refused for one crash, because reports of it come from several VMs and listings.
+    @Test
+    fun `given one crash, when it is reported again later, then it counts once`() {
+        fixture.engines(6)
+        repeat(3) {
+            fixture.handle(DispatchEvent.CrashReportReceived("engine-1@1", "b", setOf("harmless")))
+            fixture.now += 10.seconds
+        }
+        expectThat(fixture.submit(fixture.request(digest = "harmless"))).isNotNull()
+    }
+
     @Test
     fun `given an attempt that broke off, when its server is found restarted, then its digest is reported to the other VMs`() {
         fixture.servers(server("one"))
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -41,7 +41,7 @@
         changes: Set<FleetChange>,
     )
 
-    /** An entry VM has reported the crash of a backend server. */
+    /** An entry VM has reported the crash of a backend server. May be called several times for the same crash. */
     fun onCrashReported(record: FleetRecord.CrashReported)
 
     /** An entry VM has found a prompt part that crashes backend servers. May be called several times for the same part. */
@@ -127,7 +127,7 @@
                         "nodes" to view.nodes.size,
                     )
                 }
-                records.forEach(::notifyIfQuarantine)
+                records.forEach(::notifyOfCrash)
                 listener.onFleetChanged(view, FleetChange.entries.toSet())
                 listener.onKeysListed(read.entries.mapTo(HashSet()) { it.key })
                 true
@@ -163,8 +163,7 @@
                     is StoreChange.Put -> decode(change.entry)
                     is StoreChange.Removed -> FleetKeys.removal(change.key) ?: decoder.decodeRemoval(change.key)
                 }
-            if (record is FleetRecord.CrashReported) listener.onCrashReported(record)
-            record?.let(::notifyIfQuarantine)
+            record?.let(::notifyOfCrash)
             record?.let { apply(it) }?.let { changes += it }
         }
         revision = answer.revision
@@ -172,7 +171,8 @@
         if (changes.isNotEmpty()) listener.onFleetChanged(view, changes)
     }
 
-    private fun notifyIfQuarantine(record: FleetRecord) {
+    private fun notifyOfCrash(record: FleetRecord) {
+        if (record is FleetRecord.CrashReported) listener.onCrashReported(record)
         if (record is FleetRecord.PartQuarantined) listener.onPartQuarantined(record)
     }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.ragwortlever.core.fleet.CrashRecord
 import org.ragwortlever.core.fleet.FleetChange
 import org.ragwortlever.core.fleet.FleetKeys
 import org.ragwortlever.core.fleet.FleetRecord
@@ -33,6 +34,7 @@
     private val observedNodes = LinkedBlockingQueue<Set<String>>()
     private val removedKeys = CopyOnWriteArrayList<String>()
     private val listedKeys = CopyOnWriteArrayList<Set<String>>()
+    private val crashedServers = CopyOnWriteArrayList<String>()
     private val quarantinedParts = CopyOnWriteArrayList<String>()
     private val feed =
         object : ChangeFeed {
@@ -66,7 +68,9 @@
                 observedNodes += view.nodes.keys.toSet()
             }
 
-            override fun onCrashReported(record: FleetRecord.CrashReported) = Unit
+            override fun onCrashReported(record: FleetRecord.CrashReported) {
+                crashedServers += record.crash.server
+            }
 
             override fun onPartQuarantined(record: FleetRecord.PartQuarantined) {
                 quarantinedParts += record.quarantine.part
@@ -131,6 +135,15 @@
         expectThat(quarantinedParts).containsExactly("culprit", "other")
     }
 
+    @Test
+    fun `given crash reports in the store, when a VM lists all entries, then it learns of them`() {
+        val crash = CrashRecord("i-1@1", "a", setOf("digest"))
+        listings += Ok(StoreRead(10, listOf(node("one"), StoreEntry(FleetKeys.crash("vm-1", 1), crash.encode(), 2, 2))))
+        follower.start()
+        nextNodes()
+        expectThat(crashedServers).containsExactly("i-1@1")
+    }
+
     @Test
     fun `given an unavailable store, when it responds again, then changes are requested from the same revision`() {
         listings += Ok(StoreRead(10, listOf(node("one"))))
