Let an odd store entry harm nothing but itself

Cause: the JSON parser recurses, the overflow of the stack is no RuntimeException and ended the follower's thread, and the same entry ended it on every VM that listed the store. A server with an address that is none was chosen, and each request sent there ended in an unexpected error.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -203,7 +203,14 @@
         }
     }
 
-    private fun decode(entry: StoreEntry): FleetRecord? = FleetKeys.decode(entry.key, entry.value) ?: decoder.decode(entry)
+    /** An entry whose decoding overflows the stack is ignored: the thread has to go on with the others. */
+    private fun decode(entry: StoreEntry): FleetRecord? =
+        try {
+            FleetKeys.decode(entry.key, entry.value) ?: decoder.decode(entry)
+        } catch (failure: StackOverflowError) {
+            logger.error { eventLine("entry-unreadable", "key" to entry.key, "revision" to entry.modifyRevision, "error" to failure) }
+            null
+        }
 
     private fun markStoreAnswered() {
         val since = unavailableSince ?: return
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/PeerCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/PeerCalls.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.cbor.Cbor
+import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
@@ -53,7 +54,8 @@
         timeout: Duration,
     ): Result<Res, String> {
         val body = Cbor.encodeToByteArray(route.requestSerializer, request).toRequestBody()
-        val call = client.newCall(Request.Builder().url("http://${peer.peers}${route.path}").post(body).build())
+        val url = "http://${peer.peers}${route.path}".toHttpUrlOrNull() ?: return Err("${peer.peers} is no address")
+        val call = client.newCall(Request.Builder().url(url).post(body).build())
         call.timeout().timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         return try {
             call.execute().use { response ->
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetFollowerTest.kt
@@ -51,11 +51,13 @@
                 return changes.take()
             }
         }
+    private fun decodingFails(): FleetRecord? = throw StackOverflowError()
+
     private val decoder =
         object : FleetDecoder {
             override val prefix = ""
 
-            override fun decode(entry: StoreEntry): FleetRecord? = null
+            override fun decode(entry: StoreEntry): FleetRecord? = if (entry.key == "odd") decodingFails() else null
 
             override fun decodeRemoval(key: String): FleetRecord? = null
         }
@@ -135,6 +137,19 @@
         expectThat(quarantinedParts).containsExactly("culprit", "other")
     }
 
+    // Guards against an odd entry that ends the thread, after which the VM follows nothing.
+    @Test
+    fun `given an entry that can't be decoded for an error, when the follower reads it, then the others hold and it goes on`() {
+        val odd = StoreEntry("odd", "[[[", 1, 1)
+        listings += Ok(StoreRead(10, listOf(odd, node("one"))))
+        changes += Ok(StoreChanges.Since(12, listOf(StoreChange.Put(odd), StoreChange.Put(node("two")))))
+        changes += Ok(StoreChanges.Since(13, listOf(StoreChange.Put(node("three")))))
+        follower.start()
+        expectThat(nextNodes()).isEqualTo(setOf("one"))
+        expectThat(nextNodes()).isEqualTo(setOf("one", "two"))
+        expectThat(nextNodes()).isEqualTo(setOf("one", "two", "three"))
+    }
+
     @Test
     fun `given crash reports in the store, when a VM lists all entries, then it learns of them`() {
         val crash = CrashRecord("i-1@1", "a", setOf("digest"))
