Take no request in a planned stop that its deadline does not end in time

Cause: while it stops, a VM took a request if an estimate from recent answers fitted into the rest of the grace period. A request that took longer than those before was cut. Change: only the deadline decides. A refused caller is told that nothing ran and to come back at once, elsewhere. The test that short recent answers suffice was wrong, as it asked for exactly this fault; two take its place: such a request is refused, one whose deadline is before the end is served.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -29,7 +29,6 @@
 import org.ragwortlever.core.error.Executed
 import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.error.answer
-import org.ragwortlever.core.route.AnswerTimes
 import org.ragwortlever.core.route.RouteKind
 import org.ragwortlever.core.route.RouteTable
 import org.ragwortlever.daemon.caller.internalRefusal
@@ -59,7 +58,6 @@
 ) {
     private val nextKey = AtomicLong()
     private val parser = RoutedRequestParser(headerNames)
-    private val answerTimes = AnswerTimes()
     private val unavailableServers = UnavailableServers()
     private val namedLimits = NamedLimits()
 
@@ -86,11 +84,11 @@
             prepared
         }
 
-    /** Whether the shutdown could cut the response; the request is then refused so that the caller turns to another VM. */
-    private fun mayOutlastShutdown(request: RoutedRequest): Boolean {
-        val end = stopsAt() ?: return false
-        return minOf(request.deadline, now() + answerTimes.estimateDuration(request.route)) > end
-    }
+    /**
+     * Whether the shutdown could cut the response; the request is then refused so that the caller turns to another VM.
+     * Only the deadline tells: no estimate holds for a request that takes longer than those before.
+     */
+    private fun mayOutlastShutdown(request: RoutedRequest): Boolean = stopsAt()?.let { request.deadline > it } ?: false
 
     private fun respondWithRefusal(
         id: String,
@@ -234,7 +232,6 @@
         ) {
             val duration = now() - arrival
             log.answered(status, timeToFirstByte, duration)
-            answerTimes.recordDuration(request.route.name, duration, now())
             observer.onResponse(request.route.name, status, timeToFirstByte, duration)
         }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandlerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandlerTest.kt
@@ -319,11 +319,23 @@
     }
 
     @Test
-    fun `given a VM that shuts down, when recent responses on a route were short, then a request that can still finish is served`() {
-        fixture.startServers({ request, socket -> socket.answer(request, "done") })
-        expectThat(fixture.post("/safe/7").use { it.code }).isEqualTo(200)
+    fun `given a VM that shuts down, when recent responses were short but a request may last longer, then it is refused as not run`() {
+        val server = fixture.startServers({ request, socket -> socket.answer(request, "done") }).single()
+        expectThat(fixture.post("/once/7").use { it.code }).isEqualTo(200)
         fixture.stopsAt = Clock.System.now() + 2.seconds
-        expectThat(fixture.post("/safe/7").use { it.code }).isEqualTo(200)
+        fixture.post("/once/8").use { response ->
+            expectThat(response.code).isEqualTo(503)
+            expectThat(response.body.string()).contains("\"executed\":\"no\"")
+        }
+        expectThat(server.received).hasSize(1)
+    }
+
+    @Test
+    fun `given a VM that shuts down, when a request's deadline is before that, then it is served`() {
+        fixture.startServers({ request, socket -> socket.answer(request, "done") })
+        fixture.stopsAt = Clock.System.now() + 5.seconds
+        val headers = mapOf("X-Deadline-Milliseconds" to "1000")
+        expectThat(fixture.post("/safe/7", headers = headers).use { it.code }).isEqualTo(200)
     }
 
     // Guards against a faulty server that sends bytes that are no response until the connection is closed.
