--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/PeerCallsTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/PeerCallsTest.kt
@@ -22,7 +22,10 @@
 import org.ragwortlever.core.dispatch.PoolReply
 import org.ragwortlever.core.dispatch.PoolReport
 import org.ragwortlever.core.dispatch.PromptPart
+import org.ragwortlever.core.dispatch.QuarantinedPart
 import org.ragwortlever.core.dispatch.ReportedAttempt
+import org.ragwortlever.core.dispatch.ReportedBreak
+import org.ragwortlever.core.dispatch.ReportedEnd
 import org.ragwortlever.core.fleet.NodeRecord
 import org.ragwortlever.http.HttpLimits
 import org.ragwortlever.http.HttpListener
@@ -37,7 +40,18 @@
 @OptIn(ExperimentalKotest::class)
 class PeerCallsTest {
     private val listeners = ArrayList<UndertowListeners>()
-    private val report = PoolReport("vm-1", "engines", 7, listOf(ReportedAttempt("one", 100, 200)), listOf(3), emptyList())
+    private val quarantined = listOf(QuarantinedPart("engines", "culprit", 1000))
+    private val report =
+        PoolReport(
+            "vm-1",
+            "engines",
+            7,
+            listOf(ReportedAttempt("one", 100, 200)),
+            listOf(3),
+            listOf(ReportedEnd("one", null, listOf("part"))),
+            breaks = listOf(ReportedBreak("one@1", 20, isCrash = true, setOf("part"), setOf("part"))),
+            quarantined = quarantined,
+        )
     private val question =
         PoolQuestion(report, 3, "id", listOf(PromptPart("part", 100)), 10, "a", 200_000, setOf("two"), emptySet(), 1, 500, 3000)
     private val endpoint = peerHandler(listOf(peerEndpoint(PoolDeciderClient.QUESTION_ROUTE) { PoolReply(PoolAnswer.NoServer) }))
@@ -55,6 +69,22 @@
             expectThat(ask(endpoint).get()).isEqualTo(PoolReply(PoolAnswer.NoServer))
         }
 
+    @Test
+    fun `given a quarantined part, when a VM is asked or told, then the message arrives whole`() {
+        val reply = PoolReply(PoolAnswer.Quarantined, quarantined = quarantined)
+        var received: PoolQuestion? = null
+        val asked = peerHandler(
+            listOf(
+                peerEndpoint(PoolDeciderClient.QUESTION_ROUTE) { asking ->
+                    received = asking
+                    reply
+                },
+            ),
+        )
+        expectThat(ask(asked).get()).isEqualTo(reply)
+        expectThat(received).isEqualTo(question)
+    }
+
     @Test
     fun `given a request with an excessive declared length, when it is handled, then it is refused without allocation`() {
         // Maps with a text and with a byte string of two thousand million bytes, and arrays of two thousand million elements.
