Judge crashes by what all VMs report, and requests that are sent again by their last part

A part that ran beside the culprit could be in more crashes than the culprit for the 60 ms until the next report. - A part that a completed run had cleared was suspected again once that run was forgotten, after 4,000 other parts. - What a VM found alone, while it reached no other, was spread to all by its reports. Change: a crash is considered after 250 ms; a completed run removes its parts from the crashes at once; what is found by a VM that others do not report to stays there. The last part of a prompt counts too, so a request that is sent again is bounded as a part is, also with the store down.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ContentQuarantine.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ContentQuarantine.kt
@@ -24,12 +24,15 @@
     private val ownBreaks = ArrayDeque<OwnBreak>()
     private val unannounced = ArrayList<FoundPart>()
 
+    /** Parts that this VM has found by its own observations alone; they bind no other VM. */
+    private val foundLocally = HashSet<Pair<String, String>>()
+
     /** Records that [attempt] of this VM broke off. */
     fun recordBreak(
         attempt: RunningAttempt,
         now: Instant,
     ) {
-        val parts = attempt.request.sharedParts.toSet()
+        val parts = attempt.request.partIds.toSet()
         val own = OwnBreak(attempt.server.known.server.service, attempt.server.incarnationName, parts, now)
         ownBreaks.addLast(own)
         while (ownBreaks.size > MAX_REPORTED_BREAKS) ownBreaks.removeFirst()
@@ -42,10 +45,10 @@
         now: Instant,
     ) = partsOf(server.known.server.service).recordProcessGone(server.incarnationName, now)
 
-    /** Records a complete answer of [service] to a request with the shared [parts]. */
+    /** Records a complete answer of [service] to a request with [parts], in order. */
     fun recordCompletion(
         service: String,
-        parts: Collection<String>,
+        parts: List<String>,
         now: Instant,
     ) {
         if (parts.isNotEmpty()) partsOf(service).recordCompletion(parts, now)
@@ -80,11 +83,14 @@
         if (observed.isCrash) parts.recordProcessGone(observed.process, at)
     }
 
-    /** Adds parts that other VMs have found; returns those that are new to this VM. */
+    /** Adds parts that other VMs have found. */
     fun merge(
         found: List<QuarantinedPart>,
         now: Instant,
-    ): List<QuarantinedPart> = found.filter { partsOf(it.service).quarantine(it.part, now - it.ageMilliseconds.milliseconds, now) }
+    ) = found.forEach {
+        partsOf(it.service).quarantine(it.part, now - it.ageMilliseconds.milliseconds, now)
+        foundLocally -= it.service to it.part
+    }
 
     /** Evaluates the evidence on [service], which is the whole fleet's: what is found is to be announced to all VMs. */
     fun decide(
@@ -99,7 +105,7 @@
         service: String,
         now: Instant,
     ) {
-        findNew(service, now)
+        findNew(service, now).mapTo(foundLocally) { service to it.part }
     }
 
     private fun findNew(
@@ -123,14 +129,16 @@
         }
     }
 
-    /** The parts that this VM knows to be quarantined at [service]. */
+    /** The parts that deciders have quarantined at [service], as far as this VM knows. */
     fun reportQuarantined(
         service: String,
         now: Instant,
     ): List<QuarantinedPart> =
-        partsByService[service]?.quarantined(now).orEmpty().map { (part, since) ->
-            QuarantinedPart(service, part, (now - since).inWholeMilliseconds)
-        }
+        partsByService[service]
+            ?.quarantined(now)
+            .orEmpty()
+            .filterKeys { service to it !in foundLocally }
+            .map { (part, since) -> QuarantinedPart(service, part, (now - since).inWholeMilliseconds) }
 
     private fun partsOf(service: String) = partsByService.getOrPut(service) { CrashingParts() }
 
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DeciderSelector.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DeciderSelector.kt
@@ -38,6 +38,9 @@
         now: Instant,
     ): String? = rendezvousOwner(service, candidates.filter { now >= (suspensions[it]?.until ?: now) })
 
+    /** Whether this VM decides for [service] while all candidates answer, so that all VMs report to it. */
+    fun isFirst(service: String): Boolean = rendezvousOwner(service, candidates) == self
+
     fun recordAnswer(node: String) {
         suspensions.remove(node)
     }
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -51,8 +51,7 @@
 ) {
     val promptTokens: Int get() = parts.sumOf { it.tokens }
 
-    /** Ids of the parts that other requests may share: all but the last one. */
-    val sharedParts: List<String> get() = parts.dropLast(1).map { it.id }
+    val partIds: List<String> get() = parts.map { it.id }
 }
 
 /** How an attempt on a backend server ended. */
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -132,13 +132,13 @@
         val attempt = openRequest.running ?: return
         attempt.server.running.remove(event.key)
         openRequest.running = null
-        scheduleReport(attempt, event.end.toReport(attempt.server.id, openRequest.request.sharedParts), effects)
+        scheduleReport(attempt, event.end.toReport(attempt.server.id, openRequest.request.partIds), effects)
         when (val end = event.end) {
             AttemptEnd.Answered -> {
                 attempt.server.health.recordSuccess(now)
                 attempt.server.recordResponse(now)
                 suspects.recordCompletion(openRequest.request.digest, now)
-                quarantine.recordCompletion(attempt.server.known.server.service, openRequest.request.sharedParts, now)
+                quarantine.recordCompletion(attempt.server.known.server.service, openRequest.request.partIds, now)
                 open.remove(event.key)
             }
             is AttemptEnd.NotRun -> {
@@ -212,6 +212,7 @@
         val openQuestion = OpenQuestion(openRequest.openQuestion?.number ?: ++questions, decider, now)
         openRequest.openQuestion = openQuestion
         if (decider == options.node) {
+            evaluateCrashes(service.name, now)
             val report = PoolReport(options.node, service.name, 0, emptyList(), emptyList(), emptyList())
             return applyAnswer(
                 openRequest,
@@ -310,7 +311,7 @@
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
-        openRequest.request.services.firstOrNull()?.let { quarantine.decideLocally(it.name, now) }
+        openRequest.request.services.firstOrNull()?.let { evaluateCrashes(it.name, now) }
         if (isQuarantined(openRequest.request, now)) return refuse(openRequest, quarantinedRefusal(openRequest), effects)
         val best = openRequest.request.services.firstNotNullOfOrNull { service ->
             pool.chooseServer(openRequest.request, service, openRequest.failedServers, openRequest.rejectingServers, now)
@@ -441,15 +442,21 @@
         confirmCrash(server, now, effects)
         val service = server.known.server.service
         reporter.recordChange(service, ReportedEnd(server.id, ServerFailure.UNREACHABLE))?.let { effects += it }
-        if (deciderSelector.deciderFor(service, now) == options.node) quarantine.decide(service, now)
+        if (deciderSelector.isFirst(service)) quarantine.decide(service, now)
     }
 
+    /** What a VM finds that others do not report to holds for this VM only: its view may be partial. */
+    private fun evaluateCrashes(
+        service: String,
+        now: Instant,
+    ) = if (deciderSelector.isFirst(service)) quarantine.decide(service, now) else quarantine.decideLocally(service, now)
+
     private fun isQuarantined(
         request: RoutedRequest,
         now: Instant,
     ): Boolean =
         suspects.isRefused(request.digest, now) ||
-            request.services.any { quarantine.findQuarantined(it.name, request.sharedParts, now) != null }
+            request.services.any { quarantine.findQuarantined(it.name, request.partIds, now) != null }
 
     /** The process of [server] is gone: each attempt that recently broke off on it may have caused the crash. */
     private fun confirmCrash(
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolDecider.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolDecider.kt
@@ -96,8 +96,7 @@
         question: PoolQuestion,
         now: Instant,
     ): PoolAnswer {
-        quarantine.decide(question.report.service, now)
-        if (quarantine.findQuarantined(question.report.service, question.sharedParts, now) != null) {
+        if (quarantine.findQuarantined(question.report.service, question.partIds, now) != null) {
             admission.queue.remove(question.report.node, question.number)
             return PoolAnswer.Quarantined
         }
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolMessages.kt
@@ -25,7 +25,7 @@
 /**
  * How an attempt on [server] ended; [failure] is null after a complete answer.
  *
- * @property parts parts of the answered prompt that other requests may share; empty after a failure.
+ * @property parts ids of the parts of the answered prompt, in order; empty after a failure.
  */
 @Serializable
 data class ReportedEnd(
@@ -38,7 +38,7 @@
  * An attempt that broke off on the server process [process].
  *
  * @property isCrash whether the process is known to be gone.
- * @property parts parts of the attempt's prompt that other requests may share.
+ * @property parts ids of the parts of the attempt's prompt.
  * @property sound those of [parts] under which the reporting VM has seen a request complete.
  */
 @Serializable
@@ -147,8 +147,7 @@
 ) {
     val promptTokens: Int get() = parts.sumOf { it.tokens }
 
-    /** Ids of the parts that other requests may share: all but the last one. */
-    val sharedParts: List<String> get() = parts.dropLast(1).map { it.id }
+    val partIds: List<String> get() = parts.map { it.id }
 
     /** Tokens of the last part, which no other request shares. */
     val ownTokens: Int get() = parts.lastOrNull()?.tokens ?: 0
--- a/core/src/main/kotlin/org/ragwortlever/core/quarantine/CrashingParts.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/quarantine/CrashingParts.kt
@@ -1,6 +1,7 @@
 /*
  * Finds the parts of prompts that crash the backend servers of one service. Requests that share such a part need not have
- * anything else in common, so crashes are counted by part.
+ * anything else in common, so crashes are counted by part. The last part of a prompt counts too: it is the same when the
+ * same request is sent again.
  *
  * A run that completes under a part clears the part of all crashes before. A part is quarantined when crashes at several
  * times have no other explanation: parts that sound requests share have completed runs, servers that fail together have
@@ -20,10 +21,11 @@
     private val completedAt = BoundedMap<String, Instant>(MAX_COMPLETED_PARTS)
     private val quarantinedAt = BoundedMap<String, Instant>(MAX_QUARANTINED_PARTS)
 
-    /** Whether anything was recorded since the last call of [findNew]. */
+    /** Whether evidence was recorded that [findNew] has not considered yet. */
     private var isChanged = false
+    private var evaluatedAt = Instant.DISTANT_PAST
 
-    /** Records that an attempt with the shared [parts] broke off at the time [at] on the server process [process]. */
+    /** Records that an attempt with [parts] broke off at the time [at] on the server process [process]. */
     fun recordBreak(
         process: String,
         parts: Set<String>,
@@ -47,11 +49,14 @@
     /** Whether [process] is known to have crashed while it ran requests. */
     fun hasCrashed(process: String): Boolean = endsByProcess[process]?.isCrash == true
 
-    /** Records a complete answer to a request with the shared [parts]. */
+    /** Records a complete answer to a request with [parts], in order; the last one is not expected to come again. */
     fun recordCompletion(
-        parts: Collection<String>,
+        parts: List<String>,
         now: Instant,
-    ) = parts.forEach { completedAt[it] = now }
+    ) {
+        endsByProcess.values.forEach { it.clear(parts, now) }
+        parts.dropLast(1).forEach { completedAt[it] = now }
+    }
 
     /** Records that another entry VM has seen a request with [part] complete before [at]; older than any own knowledge. */
     fun recordEarlierCompletion(
@@ -64,15 +69,13 @@
     /** Whether a request with [part] is known to have completed, at any time. */
     fun hasCompleted(part: String): Boolean = part in completedAt
 
-    /** Quarantines [part] from [since] on, as another entry VM has found. Returns false if that is already known or over. */
+    /** Quarantines [part] from [since] on, as another entry VM has found. Repetition doesn't prolong the quarantine. */
     fun quarantine(
         part: String,
         since: Instant,
         now: Instant,
-    ): Boolean {
-        if (now - since >= QUARANTINE_TIME || isQuarantined(part, now)) return false
-        quarantinedAt[part] = since
-        return true
+    ) {
+        if (now - since < QUARANTINE_TIME && !isQuarantined(part, now)) quarantinedAt[part] = since
     }
 
     fun isQuarantined(
@@ -83,10 +86,15 @@
     /** The quarantined parts, with the times since which they are. */
     fun quarantined(now: Instant): Map<String, Instant> = quarantinedAt.filterValues { now - it < QUARANTINE_TIME }
 
-    /** Quarantines the parts that the crashes since the last call prove to crash servers, and returns them with the evidence. */
+    /**
+     * Quarantines the parts that the crashes prove to crash servers, and returns those that were not known, with the evidence.
+     * A crash is considered after [SETTLE_TIME], when all entry VMs have reported what ran on the server: until then a part
+     * that ran beside the culprit may seem to be in more crashes.
+     */
     fun findNew(now: Instant): List<CrashingPart> {
-        if (!isChanged) return emptyList()
-        isChanged = false
+        if (!isChanged || now - evaluatedAt < EVALUATION_INTERVAL) return emptyList()
+        evaluatedAt = now
+        isChanged = endsByProcess.values.any { it.isCrash && now - it.brokenAt < SETTLE_TIME }
         val found = ArrayList<CrashingPart>()
         while (true) {
             val next = findProven(now).ifEmpty { return found }
@@ -99,7 +107,7 @@
     private fun findProven(now: Instant): List<CrashingPart> {
         val known = quarantined(now).keys
         val unexplained = endsByProcess.entries
-            .filter { (_, end) -> end.isCrash && now - end.brokenAt <= EVIDENCE_TIME && !end.hasAnyOf(known) }
+            .filter { (_, end) -> end.isCrash && now - end.brokenAt in SETTLE_TIME..EVIDENCE_TIME && !end.hasAnyOf(known) }
             .sortedBy { (_, end) -> end.brokenAt }
         if (unexplained.size < MIN_SCORE) return emptyList()
         val ends = unexplained.map { it.value }
@@ -115,8 +123,8 @@
         ends: List<ProcessEnd>,
     ): Suspect {
         val lastCompletion = completedAt[part]
-        val crashes = ends.filter { part in it.parts && (lastCompletion == null || it.brokenAt > lastCompletion) }
-        return Suspect(part, crashes.toSet(), scoreOf(crashes.toSet(), ends), lastCompletion != null)
+        val crashes = ends.filterTo(HashSet()) { part in it.parts && (lastCompletion == null || it.brokenAt > lastCompletion) }
+        return Suspect(part, crashes, scoreOf(crashes, ends), lastCompletion != null)
     }
 
     /**
@@ -146,6 +154,12 @@
         // Servers that one cause ends are gone within milliseconds of each other.
         val COINCIDENCE_WINDOW: Duration = 300.milliseconds
         val EVIDENCE_TIME: Duration = 10.minutes
+
+        // Several times the delay of a report.
+        val SETTLE_TIME: Duration = 250.milliseconds
+
+        // Bounds the work when many servers end together.
+        val EVALUATION_INTERVAL: Duration = 50.milliseconds
         val QUARANTINE_TIME: Duration = 10.minutes
 
         const val MAX_PROCESSES = 64
@@ -163,8 +177,9 @@
 /** The attempts that broke off on one server process, and whether the process is gone. */
 private class ProcessEnd {
     private val attempts = LinkedHashSet<Set<String>>()
+    private val cleared = HashSet<String>()
 
-    /** Union of the shared parts of all attempts. */
+    /** Parts of all attempts under which no request has completed since. */
     val parts = LinkedHashSet<String>()
 
     /** Time of the first break. */
@@ -176,15 +191,24 @@
     val isCrash: Boolean get() = attempts.isNotEmpty() && goneAt?.let { (it - brokenAt).absoluteValue <= CONFIRMATION_WINDOW } ?: false
 
     fun addBreak(
-        shared: Set<String>,
+        broken: Set<String>,
         at: Instant,
     ): Boolean {
         brokenAt = minOf(brokenAt, at)
-        if (attempts.size >= MAX_ATTEMPTS || !attempts.add(shared)) return false
-        parts += shared
+        if (attempts.size >= MAX_ATTEMPTS || !attempts.add(broken)) return false
+        parts += broken - cleared
         return true
     }
 
+    /** Removes [completed], the parts of a request that has completed at [now], from the possible causes. */
+    fun clear(
+        completed: List<String>,
+        now: Instant,
+    ) {
+        if (now < brokenAt) return
+        completed.filterTo(cleared) { parts.remove(it) }
+    }
+
     fun hasAnyOf(known: Set<String>): Boolean = known.any { it in parts }
 
     /** Whether each attempt has both parts or neither. */
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartSimulation.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartSimulation.kt
@@ -132,11 +132,12 @@
         }
     }
 
-    /** Submits a request with the shared [parts] and one of its own at [vm]. */
+    /** Submits a request with the shared [parts] and one of its own at [vm]; [own] is null for one that no other has. */
     fun submit(
         vm: String,
         parts: List<String>,
         isResumable: Boolean = false,
+        own: String? = null,
     ) {
         if (vm !in dispatchers) return
         val key = ++nextKey
@@ -152,8 +153,19 @@
                 maximumAttempts = 2,
                 isResumable = isResumable,
             )
-        val prompt = parts.map { PromptPart(it, 500) } + PromptPart("own-$key", 100)
-        val request = RoutedRequest(key, "request-$key", route, listOf(SERVICE), "account", 1, prompt, 50, "digest-$key", now + 5.seconds)
+        val prompt = parts.map { PromptPart(it, 500) } + PromptPart(own ?: "own-$key", 100)
+        val request = RoutedRequest(
+            key,
+            "request-$key",
+            route,
+            listOf(SERVICE),
+            "account",
+            1,
+            prompt,
+            50,
+            "digest-${own ?: key}",
+            now + 5.seconds,
+        )
         if (!request.isCulprit) soundSubmitted++
         handle(vm, DispatchEvent.RequestSubmitted(request), request)
     }
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartTest.kt
@@ -1,6 +1,7 @@
 package org.ragwortlever.core.dispatch
 
 import org.junit.jupiter.api.Test
+import org.ragwortlever.core.membership.rendezvousOwner
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
@@ -94,6 +95,22 @@
         simulation.expectBound()
     }
 
+    @Test
+    fun `given a request that crashes servers, when it is sent again and again with the store down, then the bound holds`() {
+        simulation.isStoreDown = true
+        simulation.culprit = "own"
+        simulation.sendSoundRequests()
+        repeat(40) { number ->
+            simulation.at(1.seconds + 300.milliseconds * number) {
+                simulation.submit("vm-${number % 8}", listOf("first-0", "session-1"), own = "own")
+            }
+        }
+        simulation.runAll()
+        val bound = simulation.crashes[2] + CONTACT_TIME
+        expectThat(simulation.culpritsAtEngines.count { it > bound }).isLessThanOrEqualTo(MAX_LATE_REQUESTS)
+        expectThat(simulation.soundQuarantined).isEqualTo(0)
+    }
+
     @Test
     fun `given the store down, when a part crashes servers, then the bound holds at all VMs`() {
         simulation.isStoreDown = true
@@ -133,6 +150,20 @@
         simulation.expectBound()
     }
 
+    // Guards against one VM's partial view that binds the fleet.
+    @Test
+    fun `given a part that a VM has found alone, when it reaches the others again, then they do not take it over`() {
+        val alone = simulation.vmNames.first { it != rendezvousOwner("engines", simulation.vmNames) }
+        simulation.cutOff += alone
+        simulation.sendSoundRequests()
+        simulation.sendCulprits(vmOf = { alone })
+        // Its reports no longer repeat the crashes then.
+        simulation.at(15.seconds) { simulation.cutOff.clear() }
+        simulation.runAll()
+        simulation.expectBound()
+        expectThat(simulation.found).isEmpty()
+    }
+
     @Test
     fun `given a VM that was cut off when a part was found, when it is back, then it hears of the part before it sends`() {
         simulation.isStoreDown = true
--- a/core/src/test/kotlin/org/ragwortlever/core/quarantine/CrashingPartsTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/quarantine/CrashingPartsTest.kt
@@ -35,6 +35,7 @@
     @Test
     fun `given three crashes under one part, then it is quarantined with the crashes as evidence`() {
         repeat(3) { crash(it.seconds, setOf("culprit", "session-$it")) }
+        expectThat(parts.findNew(start + 2.1.seconds)).isEmpty()
         expectThat(parts.findNew(start + 3.seconds)).isEqualTo(
             listOf(CrashingPart("culprit", setOf("process-0", "process-1", "process-2"))),
         )
@@ -44,7 +45,7 @@
     fun `given crashes under a part, when a request with it completes afterwards, then they no longer count`() {
         crash(0.seconds, setOf("popular"))
         crash(1.seconds, setOf("popular"))
-        parts.recordCompletion(listOf("popular"), start + 2.seconds)
+        parts.recordCompletion(listOf("popular", "own"), start + 2.seconds)
         crash(3.seconds, setOf("popular"))
         crash(4.seconds, setOf("popular"))
         expectThat(found()).isEmpty()
@@ -73,7 +74,7 @@
 
     @Test
     fun `given two parts that always come together, when one has completed before, then the other is quarantined`() {
-        parts.recordCompletion(listOf("first"), start - 5.seconds)
+        parts.recordCompletion(listOf("first", "own"), start - 5.seconds)
         repeat(3) { crash(it.seconds, setOf("first", "culprit")) }
         expectThat(found()).containsExactly("culprit")
     }
@@ -92,6 +93,17 @@
         expectThat(found()).containsExactly("culprit")
     }
 
+    // Guards against a decision before all VMs have reported what ran on a crashed server.
+    @Test
+    fun `given a part that ran beside the culprit, when its break is reported first, then the culprit alone is quarantined`() {
+        parts.recordCompletion(listOf("unlucky", "own"), start - 1.seconds)
+        repeat(2) { crash(it.seconds, setOf("unlucky"), setOf("culprit")) }
+        crash(2.seconds, setOf("unlucky"))
+        expectThat(found(2.05.seconds)).isEmpty()
+        parts.recordBreak("process-2", setOf("culprit"), start + 2.seconds)
+        expectThat(found(2.3.seconds)).containsExactly("culprit")
+    }
+
     @Test
     fun `given two culprits at once, when each has its own crashes, then both are quarantined`() {
         repeat(3) {
@@ -117,15 +129,25 @@
 
     @Test
     fun `given an expired quarantine, when another VM repeats it, then it is not renewed`() {
-        expectThat(parts.quarantine("culprit", start, start + 10.minutes)).isFalse()
+        parts.quarantine("culprit", start, start + 10.minutes)
         expectThat(parts.isQuarantined("culprit", start + 10.minutes)).isFalse()
     }
 
+    // Guards against evidence that counts again once the completion that cleared it is forgotten.
+    @Test
+    fun `given a part that was cleared of crashes, when many other requests complete, then the crashes do not count again`() {
+        repeat(2) { crash(it.seconds, setOf("popular")) }
+        parts.recordCompletion(listOf("popular", "own"), start + 2.seconds)
+        repeat(5_000) { parts.recordCompletion(listOf("other-$it", "own"), start + 3.seconds) }
+        crash(4.seconds, setOf("popular"))
+        expectThat(found()).isEmpty()
+    }
+
     @Test
     fun `given ten thousand other parts, when their requests complete, then a culprit is still found`() {
         repeat(3) { number ->
             crash(number.seconds, setOf("culprit", "session-$number"))
-            repeat(3_500) { parts.recordCompletion(listOf("other-$number-$it"), start + number.seconds) }
+            repeat(3_500) { parts.recordCompletion(listOf("other-$number-$it", "own"), start + number.seconds) }
         }
         expectThat(found()).containsExactly("culprit")
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RequestLog.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RequestLog.kt
@@ -48,7 +48,7 @@
         "account" to request.account,
         "tier" to request.tier,
         "tokens" to request.promptTokens,
-        "parts" to request.sharedParts.joinToString(",").ifEmpty { null },
+        "parts" to request.partIds.joinToString(",").ifEmpty { null },
         "server" to send.server.server.id,
         "attempt" to send.attempt,
         "reason" to send.reason,
