Move the dispatcher's knowledge of crashes into its own class

Change: CrashTracker has the suspects, the breaks and the servers that are gone; no change of behaviour.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -14,7 +14,6 @@
 import org.ragwortlever.core.error.Executed
 import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.fleet.ServiceLoad
-import org.ragwortlever.core.retry.CrashSuspects
 import org.ragwortlever.core.route.ServiceDefinition
 import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,9 +42,9 @@
     private val poolDecider = PoolDecider(pool, quarantine)
     private val deciderSelector = DeciderSelector(options.node)
     private val reporter = PoolReporter(options.node)
+    private val crashes = CrashTracker(pool, deciderSelector, reporter, quarantine)
     private val open = LinkedHashMap<Long, OpenRequest>()
     private val retryBudgets = HashMap<String, ServiceRetryBudget>()
-    private val suspects = CrashSuspects()
     private val prefillRates = HashMap<String, DecayedRate>()
 
     /** Services for which a hand-over is scheduled. */
@@ -77,12 +76,12 @@
             is DispatchEvent.AttemptEnded -> handleAttemptEnded(event, now, effects)
             is DispatchEvent.ServerNoticeReceived -> handleServerNotice(event, now, effects)
             is DispatchEvent.CallerDisconnected -> cancel(event.key, effects)
-            is DispatchEvent.ServersChanged -> pool.replace(event.servers).forEach { confirmCrash(it, now, effects) }
-            is DispatchEvent.ServerUnreachable -> handleUnreachable(event, now, effects)
+            is DispatchEvent.ServersChanged -> pool.replace(event.servers).forEach { crashes.recordProcessGone(it, now, effects) }
+            is DispatchEvent.ServerUnreachable -> crashes.handleUnreachable(event, now, effects)
             is DispatchEvent.QuarantineReceived -> quarantine.merge(event.parts, now)
             is DispatchEvent.TakenOutZonesChanged -> pool.zonesTakenOut = event.zones
             is DispatchEvent.NodesChanged -> updateNodes(event, now)
-            is DispatchEvent.CrashReportReceived -> suspects.recordCrash(event.server, event.zone, event.digests, now)
+            is DispatchEvent.CrashReportReceived -> crashes.applyReport(event, now)
             is DispatchEvent.QuestionReceived -> effects += DispatchEffect.Answer(poolDecider.reply(event.question, now))
             is DispatchEvent.ReportReceived -> poolDecider.applyReport(event.report, now)
             is DispatchEvent.ReportDue -> if (reporter.isDue(event.service)) sendReport(event.service, now, effects)
@@ -97,7 +96,7 @@
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
-        if (isQuarantined(request, now)) {
+        if (crashes.isQuarantined(request, now)) {
             effects += DispatchEffect.Refuse(request.key, quarantinedRefusal())
             return
         }
@@ -137,20 +136,19 @@
             AttemptEnd.Answered -> {
                 attempt.server.health.recordSuccess(now)
                 attempt.server.recordResponse(now)
-                suspects.recordCompletion(openRequest.request.digest, now)
-                quarantine.recordCompletion(attempt.server.known.server.service, openRequest.request.partIds, now)
+                crashes.recordCompletion(attempt, now)
                 open.remove(event.key)
             }
             is AttemptEnd.NotRun -> {
                 attempt.server.recordFailure(end.failure, now)
-                if (end.failure == ServerFailure.UNREACHABLE) confirmCrash(attempt.server, now, effects)
+                if (end.failure == ServerFailure.UNREACHABLE) crashes.recordProcessGone(attempt.server, now, effects)
                 if (end.failure != ServerFailure.EXPIRED) openRequest.rejectingServers += attempt.server.id
                 retry(openRequest, end.failure, now, effects)
             }
             is AttemptEnd.Failed -> {
                 attempt.server.recordFailure(end.failure, now)
                 openRequest.failedServers += attempt.server.id
-                if (end.failure == ServerFailure.BROKEN) recordBreak(attempt, now, effects)
+                if (end.failure == ServerFailure.BROKEN) crashes.recordBreak(attempt, now, effects)
                 if (openRequest.request.route.isRepeatable && end.canResume) {
                     retry(openRequest, end.failure, now, effects)
                 } else {
@@ -194,7 +192,7 @@
             timeLeft < MIN_TIME_TO_SEND -> refuse(openRequest, refusal, effects)
             openRequest.failedServers.size >= request.route.maximumAttempts -> refuse(openRequest, refusal, effects)
             openRequest.sendCount >= MAX_SENDS -> refuse(openRequest, refusal, effects)
-            isQuarantined(request, now) -> refuse(openRequest, quarantinedRefusal(openRequest), effects)
+            crashes.isQuarantined(request, now) -> refuse(openRequest, quarantinedRefusal(openRequest), effects)
             // A send that never reached the server adds no load there and is not charged to the retry budget.
             !failure.isBeforeSend && !retryBudgetOf(request.services.first()).tryTake(now) -> refuse(openRequest, refusal, effects)
             else -> send(openRequest, now, effects)
@@ -212,7 +210,7 @@
         val openQuestion = OpenQuestion(openRequest.openQuestion?.number ?: ++questions, decider, now)
         openRequest.openQuestion = openQuestion
         if (decider == options.node) {
-            evaluateCrashes(service.name, now)
+            crashes.evaluate(service.name, now)
             val report = PoolReport(options.node, service.name, 0, emptyList(), emptyList(), emptyList())
             return applyAnswer(
                 openRequest,
@@ -311,8 +309,8 @@
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
-        openRequest.request.services.firstOrNull()?.let { evaluateCrashes(it.name, now) }
-        if (isQuarantined(openRequest.request, now)) return refuse(openRequest, quarantinedRefusal(openRequest), effects)
+        openRequest.request.services.firstOrNull()?.let { crashes.evaluate(it.name, now) }
+        if (crashes.isQuarantined(openRequest.request, now)) return refuse(openRequest, quarantinedRefusal(openRequest), effects)
         val best = openRequest.request.services.firstNotNullOfOrNull { service ->
             pool.chooseServer(openRequest.request, service, openRequest.failedServers, openRequest.rejectingServers, now)
         }
@@ -416,61 +414,6 @@
     private fun pendingQuestionsAt(service: String): List<Long> =
         open.values.filter { it.request.services.firstOrNull()?.name == service }.mapNotNull { it.openQuestion?.number }
 
-    /**
-     * Records that [attempt] broke off; it may have crashed its server. A server that leaves breaks off what still runs
-     * there, so only one that takes requests counts.
-     */
-    private fun recordBreak(
-        attempt: RunningAttempt,
-        now: Instant,
-        effects: MutableList<DispatchEffect>,
-    ) {
-        val server = attempt.server
-        server.recordBrokenAttempt(attempt.request.digest, now)
-        if (pool.find(server.id) !== server || server.availability.isLeaving) return
-        quarantine.recordBreak(attempt, now)
-        effects += DispatchEffect.CheckServer(server.known.server)
-    }
-
-    private fun handleUnreachable(
-        event: DispatchEvent.ServerUnreachable,
-        now: Instant,
-        effects: MutableList<DispatchEffect>,
-    ) {
-        val server = pool.find(event.id)?.takeIf { it.known.server.incarnation == event.incarnation } ?: return
-        server.recordFailure(ServerFailure.UNREACHABLE, now)
-        confirmCrash(server, now, effects)
-        val service = server.known.server.service
-        reporter.recordChange(service, ReportedEnd(server.id, ServerFailure.UNREACHABLE))?.let { effects += it }
-        if (deciderSelector.isFirst(service)) quarantine.decide(service, now)
-    }
-
-    /** What a VM finds that others do not report to holds for this VM only: its view may be partial. */
-    private fun evaluateCrashes(
-        service: String,
-        now: Instant,
-    ) = if (deciderSelector.isFirst(service)) quarantine.decide(service, now) else quarantine.decideLocally(service, now)
-
-    private fun isQuarantined(
-        request: RoutedRequest,
-        now: Instant,
-    ): Boolean =
-        suspects.isRefused(request.digest, now) ||
-            request.services.any { quarantine.findQuarantined(it.name, request.partIds, now) != null }
-
-    /** The process of [server] is gone: each attempt that recently broke off on it may have caused the crash. */
-    private fun confirmCrash(
-        server: ServerState,
-        now: Instant,
-        effects: MutableList<DispatchEffect>,
-    ) {
-        quarantine.recordProcessGone(server, now)
-        val digests = server.takeCrashSuspects(now)
-        if (digests.isEmpty()) return
-        suspects.recordCrash(server.incarnationName, server.zone, digests, now)
-        effects += DispatchEffect.ReportCrash(server.incarnationName, server.zone, digests)
-    }
-
     private fun refuse(
         openRequest: OpenRequest,
         refusal: Refusal,
