Bound the prompt parts that reports between entry VMs repeat

Cause: callers choose the number and length of the ids in Prompt-Prefix, reports now repeat those of broken and completed requests, and a message of more than 64 KiB is cut and refused: one caller could have kept its VM's reports from the decider. Found by reading the change; not seen. Change: at most eight parts of a request with ids of up to 64 characters are followed up, the last one always; reports repeat at most 16 breaks. The choice of a server still uses all parts. Result: PeerCallsTest (the largest report that can come about is taken) passes; that it fails without the bound was not run. CrashingPartTest, DispatcherTest and the tests of the pool pass.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ContentQuarantine.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ContentQuarantine.kt
@@ -145,7 +145,7 @@
     private companion object {
         // A new decider learns of recent crashes with the first reports; longer repetition would only add bytes.
         val REPORTED_TIME: Duration = 10.seconds
-        const val MAX_REPORTED_BREAKS = 32
+        const val MAX_REPORTED_BREAKS = 16
     }
 }
 
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -51,9 +51,23 @@
 ) {
     val promptTokens: Int get() = parts.sumOf { it.tokens }
 
-    val partIds: List<String> get() = parts.map { it.id }
+    /** Ids of the parts that may be found to crash servers. */
+    val partIds: List<String> get() = parts.trackedIds()
 }
 
+/**
+ * Ids of the parts that are reported between entry VMs. Callers choose the number and length of the ids, and reports, whose
+ * size is bounded, repeat those of many requests; so a part with a longer id, and one between the first and the last of a
+ * long list, is not followed up.
+ */
+fun List<PromptPart>.trackedIds(): List<String> {
+    val ids = map { it.id }.filter { it.length <= MAX_TRACKED_ID_LENGTH }
+    return if (ids.size <= MAX_TRACKED_PARTS) ids else ids.take(MAX_TRACKED_PARTS - 1) + ids.last()
+}
+
+private const val MAX_TRACKED_PARTS = 8
+private const val MAX_TRACKED_ID_LENGTH = 64
+
 /** How an attempt on a backend server ended. */
 sealed interface AttemptEnd {
     /** The complete answer has arrived. */
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolMessages.kt
@@ -147,7 +147,8 @@
 ) {
     val promptTokens: Int get() = parts.sumOf { it.tokens }
 
-    val partIds: List<String> get() = parts.map { it.id }
+    /** Ids of the parts that may be found to crash servers. */
+    val partIds: List<String> get() = parts.trackedIds()
 
     /** Tokens of the last part, which no other request shares. */
     val ownTokens: Int get() = parts.lastOrNull()?.tokens ?: 0
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/PeerCallsTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/PeerCallsTest.kt
@@ -26,6 +26,7 @@
 import org.ragwortlever.core.dispatch.ReportedAttempt
 import org.ragwortlever.core.dispatch.ReportedBreak
 import org.ragwortlever.core.dispatch.ReportedEnd
+import org.ragwortlever.core.dispatch.trackedIds
 import org.ragwortlever.core.fleet.NodeRecord
 import org.ragwortlever.http.HttpLimits
 import org.ragwortlever.http.HttpListener
@@ -85,6 +86,19 @@
         expectThat(received).isEqualTo(question)
     }
 
+    // Guards against a caller whose prompt parts make the reports of its VM too large to be taken.
+    @Test
+    fun `given excessive prompt parts, when all that a report repeats has them, then the message is taken`() {
+        val parts = List(5_000) { PromptPart("$it".padStart(64, '0'), 1) }.trackedIds()
+        val largest =
+            report.copy(
+                ends = List(32) { ReportedEnd("server-$it", null, parts) },
+                breaks = List(16) { ReportedBreak("server-$it@1700000000000", 20, isCrash = true, parts.toSet(), parts.toSet()) },
+            )
+        expectThat(ask(endpoint, question.copy(report = largest)).get()).isEqualTo(PoolReply(PoolAnswer.NoServer))
+        expectThat(listOf(PromptPart("a".repeat(65), 1), PromptPart("b", 2)).trackedIds()).isEqualTo(listOf("b"))
+    }
+
     @Test
     fun `given a request with an excessive declared length, when it is handled, then it is refused without allocation`() {
         // Maps with a text and with a byte string of two thousand million bytes, and arrays of two thousand million elements.
@@ -120,8 +134,9 @@
 
     private fun ask(
         handler: HttpHandler,
+        asked: PoolQuestion = question,
         timeout: kotlin.time.Duration = 5.seconds,
-    ) = PeerClient().call(node(handler), PoolDeciderClient.QUESTION_ROUTE, question, timeout)
+    ) = PeerClient().call(node(handler), PoolDeciderClient.QUESTION_ROUTE, asked, timeout)
 
     private fun node(handler: HttpHandler): NodeRecord {
         val server = UndertowListeners(listOf(HttpListener("127.0.0.1", 0, handler)), HttpLimits(workerThreads = 2)).apply { start() }
