Let a VM judge crashes alone only when no decider answers

Cause: a VM evaluated its own crashes whenever it chose a server by itself, also because the decider had answered that it knows none or because the advice was outdated. By its own view a part that completes at other VMs may look guilty, and sound requests with it were refused there for ten minutes. Change: a VM evaluates its own crashes only after a question that nobody answered, or as the decider. Result: CrashingPartTest (a decider that knows no server for a moment) failed before with one refused request, in a first form of the test in which the part completes nowhere; in its committed form it was run only on the fix, and passes with the other tests of crashes and of the pool.

--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -254,6 +254,7 @@
         val openQuestion = openRequest.openQuestion?.takeIf { it.number == event.number } ?: return
         if (event.reply == null) {
             deciderSelector.recordFailure(openQuestion.decider, now)
+            openRequest.request.services.firstOrNull()?.let { crashes.evaluate(it.name, now) }
         } else {
             deciderSelector.recordAnswer(openQuestion.decider)
         }
@@ -309,7 +310,6 @@
         now: Instant,
         effects: MutableList<DispatchEffect>,
     ) {
-        openRequest.request.services.firstOrNull()?.let { crashes.evaluate(it.name, now) }
         if (crashes.isQuarantined(openRequest.request, now)) return refuse(openRequest, quarantinedRefusal(openRequest), effects)
         val best = openRequest.request.services.firstNotNullOfOrNull { service ->
             pool.chooseServer(openRequest.request, service, openRequest.failedServers, openRequest.rejectingServers, now)
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartSimulation.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartSimulation.kt
@@ -50,6 +50,9 @@
     /** VMs that no other VM and no broadcast reaches, and that reach no other VM. */
     val cutOff = HashSet<String>()
 
+    /** Whether deciders answer that they know no server, so that each VM chooses by itself. */
+    var decidersKnowNoServer = false
+
     /** Whether what is found is kept from VMs that start later. */
     var isStoreDown = false
     private val stored = ArrayList<QuarantinedPart>()
@@ -170,6 +173,9 @@
         handle(vm, DispatchEvent.RequestSubmitted(request), request)
     }
 
+    /** The engine that runs the request which was sent last; null if none runs. */
+    fun engineOfLast(): String? = running.values.lastOrNull()?.engine
+
     /** Ends the process of [engine] and with it all that runs there. */
     fun crash(engine: String) {
         if (!down.add(engine)) return
@@ -267,7 +273,8 @@
         }
         val effects = dispatchers.getValue(ask.decider).handle(DispatchEvent.QuestionReceived(ask.question), now)
         effects.filterNot { it is DispatchEffect.Answer }.forEach { carryOut(ask.decider, it, null) }
-        val reply = effects.filterIsInstance<DispatchEffect.Answer>().single().reply
+        val answered = effects.filterIsInstance<DispatchEffect.Answer>().single().reply
+        val reply = if (decidersKnowNoServer) answered.copy(answer = PoolAnswer.NoServer) else answered
         handle(vm, DispatchEvent.AnswerReceived(ask.key, ask.question.number, reply), request)
     }
 
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/CrashingPartTest.kt
@@ -164,6 +164,23 @@
         expectThat(simulation.found).isEmpty()
     }
 
+    // Guards against a sound part that a VM blames by its own view, because the decider knows no server for a moment.
+    @Test
+    fun `given a decider that knows no server for a moment, when a VM chooses by itself, then it finds no part by itself`() {
+        val (unlucky, other) = simulation.vmNames.filter { it != rendezvousOwner("engines", simulation.vmNames) }
+        simulation.decidersKnowNoServer = true
+        repeat(3) { number ->
+            simulation.at(1.seconds + 4.seconds * number) {
+                simulation.submit(unlucky, listOf("sound"))
+                simulation.crash(checkNotNull(simulation.engineOfLast()))
+            }
+            simulation.at(2.seconds + 4.seconds * number) { simulation.submit(other, listOf("sound")) }
+        }
+        simulation.at(14.seconds) { simulation.submit(unlucky, listOf("sound")) }
+        simulation.runAll()
+        expectThat(simulation.soundQuarantined).isEqualTo(0)
+    }
+
     @Test
     fun `given a VM that was cut off when a part was found, when it is back, then it hears of the part before it sends`() {
         simulation.isStoreDown = true
