Keep the evidence on many ended servers, and a check of a server that was dropped repeatable

Cause: found by reading the change. Servers that end without a break took the places of those with one among 64 processes, so a planned change of many servers could push out the evidence; a check that found the queue full was never made again for that process. Change: 512 processes are kept; a dropped check leaves no mark. Result: CrashingPart*, ServerCheckTest pass; neither fault was shown by a test.

--- a/core/src/main/kotlin/org/ragwortlever/core/quarantine/CrashingParts.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/quarantine/CrashingParts.kt
@@ -162,7 +162,7 @@
         val EVALUATION_INTERVAL: Duration = 50.milliseconds
         val QUARANTINE_TIME: Duration = 10.minutes
 
-        const val MAX_PROCESSES = 64
+        const val MAX_PROCESSES = 512
         const val MAX_COMPLETED_PARTS = 4000
         const val MAX_QUARANTINED_PARTS = 32
     }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerCheck.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerCheck.kt
@@ -9,6 +9,7 @@
 import java.net.Socket
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -30,7 +31,6 @@
             TimeUnit.SECONDS,
             ArrayBlockingQueue(MAX_QUEUED_CHECKS),
             { task -> Thread(task, "server-check").apply { isDaemon = true } },
-            { _, _ -> logger.warn { eventLine("server-check-dropped", "reason" to "queue is full") } },
         ).apply { allowCoreThreadTimeOut(true) }
 
     /** Calls [onRefused] on another thread if [server] refuses connections. Does not block. */
@@ -40,7 +40,7 @@
     ) {
         val process = server.id to server.incarnation
         if (!running.add(process)) return
-        executor.execute {
+        val task = {
             try {
                 if (isRefused(server)) onRefused()
             } catch (_: InterruptedException) {
@@ -49,6 +49,12 @@
                 running -= process
             }
         }
+        try {
+            executor.execute(task)
+        } catch (_: RejectedExecutionException) {
+            running -= process
+            logger.warn { eventLine("server-check-dropped", "server" to server.id, "reason" to "queue is full") }
+        }
     }
 
     override fun close() {
