Accept between the chunks of an answer only what HTTP/1.1 defines

A whole event vanished from a stream that ended as complete.

Cause: after a chunk OkHttp reads up to the next line feed and drops what it has read. Sizes that end with a lone LF and trailers without a colon pass as well. ResponseHeadCheck covered heads; the same library was trusted with chunks.

No byte was left on the connection, so something had read it.

Change: ResponseFraming, which sees the bytes before OkHttp, accepts CRLF after a chunk, a hexadecimal size with optional extensions, trailer lines that are headers, and CRLF at the end (RFC 9112, 7.1), and fails the reading at the first other byte. What came before is kept, so a stream can be resumed. It works because a success needs the end of the body, which comes after the bad byte.

--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/AnswerCase.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/AnswerCase.kt
@@ -33,6 +33,9 @@
     INVALID_LINE_IN_HEAD,
     SECOND_LENGTH,
     BYTES_BEFORE_HEAD,
+    SHORT_CHUNK_SIZE,
+    BYTES_AFTER_CHUNK,
+    REFUSAL,
 }
 
 /** What another server does when it gets the request, or the rest of the stream. */
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/CaseServers.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/CaseServers.kt
@@ -67,6 +67,9 @@
             Mutation.INVALID_LINE_IN_HEAD -> socket.write(wire.text.replaceFirst("\r\n", "\r\nno header\r\n"))
             Mutation.SECOND_LENGTH -> socket.write(wire.text.replaceFirst("\r\n", "\r\nContent-Length: 7\r\nContent-Length: 3\r\n"))
             Mutation.BYTES_BEFORE_HEAD -> socket.write("\u0016\u0003\u0001*\u0002" + wire.text)
+            Mutation.SHORT_CHUNK_SIZE -> sendMalformedChunk(name, wire, socket) { it.drop(1) }
+            Mutation.BYTES_AFTER_CHUNK -> sendMalformedChunk(name, wire, socket) { it.dropLast(2) + "x\r\n" }
+            Mutation.REFUSAL -> sendRefusal(socket)
         }
         if (case.framing == AnswerFraming.CLOSE && !socket.isClosed) socket.close()
     }
@@ -104,11 +107,19 @@
         if (case.isKept) {
             socket.write(refusal("X-Not-Run: 1\r\n") + wire.text)
         } else {
-            runs.merge(CASE_ID, -1, Int::plus)
-            socket.write(refusal("X-Not-Run: 1\r\n"))
+            sendRefusal(socket, headers = "X-Not-Run: 1\r\n")
         }
     }
 
+    /** Refuses the request, which then has not run. */
+    private fun sendRefusal(
+        socket: Socket,
+        headers: String = OWN_REFUSAL,
+    ) {
+        runs.merge(CASE_ID, -1, Int::plus)
+        socket.write(refusal(headers))
+    }
+
     private fun sendRepeated(
         name: String,
         wire: Wire,
@@ -129,6 +140,17 @@
         socket.write(wire.text.take(wire.headLength) + kept + wire.text)
     }
 
+    /** Sends the answer with its first chunk changed by [spoil]; an answer without chunks is sent as it is. */
+    private fun sendMalformedChunk(
+        name: String,
+        wire: Wire,
+        socket: Socket,
+        spoil: (String) -> String,
+    ) {
+        if (case.framing != AnswerFraming.CHUNKS) return sendWhole(name, wire, socket)
+        wire.packets.forEachIndexed { index, packet -> socket.write(if (index == 1) spoil(packet) else packet) }
+    }
+
     private fun sendNext(
         name: String,
         request: ReceivedRequest,
@@ -139,7 +161,7 @@
         when (case.next) {
             NextServer.SOUND -> sendWhole(name, wire, socket)
             NextServer.ERROR -> socket.write(head(name, CASE_ID, "Content-Length: 5\r\n", "500 Failed") + "error")
-            NextServer.REFUSAL -> socket.write(refusal("X-Request-Id: $CASE_ID\r\nX-Not-Run: 1\r\n"))
+            NextServer.REFUSAL -> socket.write(refusal(OWN_REFUSAL))
             NextServer.NO_STREAM -> sendNoStream(name, socket)
             NextServer.NO_CONTENT -> socket.write(head(name, CASE_ID, "", "204 No Content"))
             NextServer.LATE_START -> sendFrom(name, request, socket, offset = 1)
@@ -246,6 +268,7 @@
     companion object {
         const val CASE_ID = "id-case"
         const val EARLIER_ID = "id-0"
+        private const val OWN_REFUSAL = "X-Request-Id: $CASE_ID\r\nX-Not-Run: 1\r\n"
         private val CLOSING = setOf(NextServer.CUT, NextServer.CUT_AFTER_HEAD)
     }
 }
--- a/http/src/main/kotlin/org/ragwortlever/http/FramingLine.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/FramingLine.kt
@@ -11,10 +11,9 @@
         bytes[size++] = byte
     }
 
-    /** Returns the line without its line end and begins the next one. */
+    /** Returns the line without its line feed and begins the next one. */
     fun take(): String {
-        val hasCarriageReturn = size > 0 && bytes[size - 1] == CARRIAGE_RETURN
-        val text = String(bytes, 0, if (hasCarriageReturn) size - 1 else size, Charsets.ISO_8859_1)
+        val text = String(bytes, 0, size, Charsets.ISO_8859_1)
         size = 0
         if (bytes.size > MAX_KEPT_BYTES) bytes = ByteArray(INITIAL_BYTES)
         return text
@@ -23,6 +22,5 @@
     private companion object {
         const val INITIAL_BYTES = 128
         const val MAX_KEPT_BYTES = 1024
-        const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
 }
--- a/http/src/main/kotlin/org/ragwortlever/http/ResponseFraming.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ResponseFraming.kt
@@ -1,6 +1,7 @@
 /*
  * Follows the framing of HTTP/1.1 responses (RFC 9112, sections 6 and 7) in the bytes that a connection receives. OkHttp
- * reads the lines between the chunks of a body up to the next line feed, however far away it is.
+ * reads the lines between the chunks of a body up to the next line feed, however far away it is, and ignores their content
+ * after a chunk. A part of a body could then pass for the whole.
  */
 package org.ragwortlever.http
 
@@ -56,22 +57,38 @@
         return count.toInt()
     }
 
-    private fun endBody() = if (state == State.CHUNK_DATA) beginLines(State.CHUNK_END, MAX_CHUNK_LINE_BYTES) else state = State.COMPLETE
+    private fun endBody() = if (state == State.CHUNK_DATA) beginLines(State.CHUNK_END, LINE_END_BYTES) else state = State.COMPLETE
 
     /** Follows a byte outside of the body and returns 1. */
     private fun acceptLineByte(byte: Byte): Int {
         if (--remainingLineBytes < 0) throw MalformedResponseException("${state.description} exceeds its size limit")
-        if (byte == LINE_FEED) endLine(line.take()) else line.append(byte)
+        when {
+            state == State.CHUNK_END -> acceptChunkEnd(byte)
+            byte == LINE_FEED -> endLine(line.take())
+            else -> line.append(byte)
+        }
         return 1
     }
 
+    private fun acceptChunkEnd(byte: Byte) {
+        val expected = if (remainingLineBytes > 0) CARRIAGE_RETURN else LINE_FEED
+        if (byte != expected) throw MalformedResponseException("a chunk is longer than its size")
+        if (remainingLineBytes == 0) beginLines(State.CHUNK_SIZE, MAX_CHUNK_LINE_BYTES)
+    }
+
+    /** Follows the end of the line [text], which lacks its line feed. Only in a head may a line end without CR. */
     private fun endLine(text: String) {
-        when (state) {
-            State.HEAD -> if (text.isNotEmpty()) head.addLine(text) else endHead()
-            State.CHUNK_SIZE -> beginChunk(text)
-            State.CHUNK_END -> beginLines(State.CHUNK_SIZE, MAX_CHUNK_LINE_BYTES)
-            State.TRAILERS -> if (text.isEmpty()) state = State.COMPLETE
-            State.BODY_WITH_LENGTH, State.CHUNK_DATA, State.BODY_UNTIL_CLOSE, State.COMPLETE -> error("$state has no lines")
+        val content = text.removeSuffix("\r")
+        if (state == State.HEAD) return if (content.isEmpty()) endHead() else head.addLine(content)
+        if (content == text) throw MalformedResponseException("${state.description} does not end with CRLF")
+        if (state == State.CHUNK_SIZE) beginChunk(content) else endTrailer(content)
+    }
+
+    private fun endTrailer(content: String) {
+        if (content.isEmpty()) {
+            state = State.COMPLETE
+        } else if (':' !in content || !content.substringBefore(':').isToken()) {
+            throw MalformedResponseException("the trailer has an invalid line")
         }
     }
 
@@ -124,6 +141,8 @@
 
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val LINE_END_BYTES = 2
         const val MAX_HEAD_BYTES = 64 * 1024
         const val MAX_TRAILER_BYTES = 16 * 1024
         const val MAX_CHUNK_LINE_BYTES = 1024
--- a/http/src/main/kotlin/org/ragwortlever/http/ResponseHeadCheck.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ResponseHeadCheck.kt
@@ -54,10 +54,12 @@
             }
         }
 
-    private fun String.isToken() = isNotEmpty() && all { it in 'a'..'z' || it in 'A'..'Z' || it in '0'..'9' || it in TOKEN_SYMBOLS }
-
     private fun Char.isForbiddenInValue() = (this < ' ' && this != '\t') || this == '\u007f'
 
     private val VALID_STATUSES = 100..599
-    private const val TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~"
 }
+
+/** Whether this is a token (RFC 9110, section 5.6.2), such as the name of a header. */
+internal fun String.isToken() = isNotEmpty() && all { it in 'a'..'z' || it in 'A'..'Z' || it in '0'..'9' || it in TOKEN_SYMBOLS }
+
+private const val TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~"
--- a/http/src/test/kotlin/org/ragwortlever/http/ResponseFramingTest.kt
+++ b/http/src/test/kotlin/org/ragwortlever/http/ResponseFramingTest.kt
@@ -80,6 +80,26 @@
     fun `given lines without end, when they arrive, then they are refused after a bounded number of bytes`(startAndLine: String) =
         startAndLine.split('|').let { (start, line) -> expectBound(start, line) }
 
+    // Guards against a part of a body that passes for the whole (review/4).
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "4\r\ndone|x\r\n",
+            "4\r\ndone|\n",
+            "4\r\ndone\r|\r\n",
+            "4|\ndone\r\n",
+            "4\r\ndone\r\n0\r\n|\n",
+            "4\r\ndone\r\n0\r\nno trailer\r|\n",
+            "4\r\ndone\r\nx\r|\n",
+        ],
+    )
+    fun `given a body with malformed framing, when it arrives, then only the bytes before the fault belong to the response`(body: String) {
+        val sound = body.substringBefore('|')
+        val rest = body.substringAfter('|') + "0\r\n\r\n"
+        expectThat(receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", sound + rest)).isEqualTo(sound.length)
+        expectThat(framing.fault).isNotNull()
+    }
+
     @ParameterizedTest
     @ValueSource(strings = ["", "x", "-1", "+1", "0x1", "1 1", "1x", " 1", "10000000000000000"])
     fun `given a line that is no size of a chunk, when it is parsed, then there is none`(line: String) {
