Send a request only once on each connection

Cause: an answer is tied to its send by the request's id alone, and all sends of a request carry the same id. After a refusal the connection is kept, and when all servers have refused, the dispatcher asks the first one again, on the same connection. A late copy of the refusal then passes for the answer to the second send, which the server runs.

Evidence: the id is compared before a refusal is believed, so the copies are those of the same request.

Change: RepeatedSendCheck records the connections of a request's sends. Where OkHttp picks one of them again, nothing is sent, the connection is closed and the send takes another. It works because copies arrive on the connection of their original: the id tells the request, the connection the send. Retries after errors and misdirections and resumed streams go the same way.

AnswerFuzzTest gets refusals that come again late.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -1,6 +1,7 @@
 /*
  * Sends attempts of routed requests to backend servers and verifies that each response is that server's response to this
- * request. Servers repeat the request's id; on a reused connection a late response may belong to an earlier request.
+ * attempt. Servers repeat the request's id; on a reused connection a late response may belong to an earlier request. All
+ * attempts of a request have the same id, so each one uses a connection of its own.
  */
 package org.ragwortlever.daemon.gateway
 
@@ -24,7 +25,9 @@
 import org.ragwortlever.http.KeepAliveSocketFactory
 import org.ragwortlever.http.MalformedResponseException
 import org.ragwortlever.http.NotSentException
+import org.ragwortlever.http.RepeatedSendCheck
 import org.ragwortlever.http.StaleConnectionCheck
+import org.ragwortlever.http.UsedConnections
 import org.ragwortlever.http.plainHttpClient
 import org.ragwortlever.http.trackSends
 import java.io.IOException
@@ -42,7 +45,10 @@
     val pathAndQuery: String,
     val headers: Headers,
     val body: ByteArray?,
-)
+) {
+    /** The connections that the attempts so far were sent on. */
+    val usedConnections = UsedConnections()
+}
 
 /**
  * Result of an attempt up to the headers of its response.
@@ -88,6 +94,7 @@
             .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS))
             .dispatcher(Dispatcher().apply { maxRequestsPerHost = maxRequests })
             .addNetworkInterceptor(StaleConnectionCheck)
+            .addNetworkInterceptor(RepeatedSendCheck)
             .addNetworkInterceptor(::removeImmediateRetryAfter)
             .trackSends()
             .build()
@@ -113,6 +120,7 @@
         attempt.account?.let { builder.header(headerNames.account, it) }
         attempt.priority?.let { builder.header(headerNames.priority, it.toString()) }
         attempt.lastEventId?.let { builder.header(headerNames.lastEventId, it) }
+        request.usedConnections.attachTo(builder)
         return ServerCall(client, builder.method(request.method, request.okHttpBody()).build(), timeout)
     }
 
@@ -144,8 +152,9 @@
     /**
      * Returns why [response] must not be forwarded; null if it is valid.
      *
-     * A refusal counts only if it is this request's. A server repeats the id unless it rejects a request unread, so an
-     * answer without an id counts only if no earlier request on the connection can have caused it.
+     * A refusal counts only if it is this attempt's, which the request's id and [RepeatedSendCheck] show together. A server
+     * repeats the id unless it rejects a request unread, so an answer without an id counts only if no earlier request on
+     * the connection can have caused it.
      */
     private fun checkResponse(
         response: Response,
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/AnswerCase.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/AnswerCase.kt
@@ -36,6 +36,7 @@
     SHORT_CHUNK_SIZE,
     BYTES_AFTER_CHUNK,
     REFUSAL,
+    REFUSAL_REPEATED_LATE,
 }
 
 /** What another server does when it gets the request, or the rest of the stream. */
@@ -81,6 +82,18 @@
     val eventsPerPacket: Int,
     val isKept: Boolean,
 ) {
+    /**
+     * Whether the first server refuses the request and does not run it. A refusal without an id counts only on a new
+     * connection.
+     */
+    val isRefused: Boolean
+        get() =
+            when (mutation) {
+                Mutation.REFUSAL, Mutation.REFUSAL_REPEATED_LATE -> true
+                Mutation.EARLIER_REFUSAL_WITHOUT_ID_FIRST -> !isKept
+                else -> false
+            }
+
     val lineEnd: String get() = if (newline == 0) "\n" else "\r\n"
     val allEvents: List<String> get() = (1..events).map { "id: $it${lineEnd}data: text $it$lineEnd$lineEnd" }
 }
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/CaseServers.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/fuzz/CaseServers.kt
@@ -16,6 +16,9 @@
     private val attempts = AtomicInteger()
     private val runs = ConcurrentHashMap<String, Int>()
 
+    /** Connections on which the request was refused, and the refusal comes again before the next answer. */
+    private val repeating = ConcurrentHashMap.newKeySet<Socket>()
+
     /** Number of times that the request was sent to a server. */
     val attemptCount: Int get() = attempts.get()
 
@@ -34,10 +37,24 @@
         when {
             id != CASE_ID -> sendSound(name, id, socket)
             attempts.incrementAndGet() == 1 -> sendMutated(name, request, socket)
+            case.mutation == Mutation.REFUSAL_REPEATED_LATE -> sendAfterCopy(name, request, socket)
             else -> sendNext(name, request, socket)
         }
     }
 
+    /** Answers a second send of the request; refuses it once on each server, as a full one does. */
+    private fun sendAfterCopy(
+        name: String,
+        request: ReceivedRequest,
+        socket: Socket,
+    ) {
+        if (socket in repeating) socket.write(refusal(OWN_REFUSAL))
+        if (attemptCount == 2) return sendRefusal(socket)
+        run(CASE_ID)
+        sendWhole(name, wire(name, case.route, request, case.framing), socket)
+        if (case.framing == AnswerFraming.CLOSE) socket.close()
+    }
+
     private fun sendSound(
         name: String,
         id: String,
@@ -52,7 +69,7 @@
         request: ReceivedRequest,
         socket: Socket,
     ) {
-        run(CASE_ID)
+        if (!case.isRefused) run(CASE_ID)
         val wire = wire(name, case.route, request, case.framing)
         when (case.mutation) {
             Mutation.NONE -> sendWhole(name, wire, socket)
@@ -69,7 +86,7 @@
             Mutation.BYTES_BEFORE_HEAD -> socket.write("\u0016\u0003\u0001*\u0002" + wire.text)
             Mutation.SHORT_CHUNK_SIZE -> sendMalformedChunk(name, wire, socket) { it.drop(1) }
             Mutation.BYTES_AFTER_CHUNK -> sendMalformedChunk(name, wire, socket) { it.dropLast(2) + "x\r\n" }
-            Mutation.REFUSAL -> sendRefusal(socket)
+            Mutation.REFUSAL, Mutation.REFUSAL_REPEATED_LATE -> sendRefusal(socket)
         }
         if (case.framing == AnswerFraming.CLOSE && !socket.isClosed) socket.close()
     }
@@ -103,21 +120,17 @@
         wire: Wire,
         socket: Socket,
     ) {
-        // On a new connection such a refusal is this request's, so that the server must not run it.
-        if (case.isKept) {
-            socket.write(refusal("X-Not-Run: 1\r\n") + wire.text)
-        } else {
-            sendRefusal(socket, headers = "X-Not-Run: 1\r\n")
-        }
+        val refusal = "X-Not-Run: 1\r\n"
+        if (case.isRefused) sendRefusal(socket, refusal) else socket.write(refusal(refusal) + wire.text)
     }
 
-    /** Refuses the request, which then has not run. */
+    /** Refuses the request, which must not have run. */
     private fun sendRefusal(
         socket: Socket,
         headers: String = OWN_REFUSAL,
     ) {
-        runs.merge(CASE_ID, -1, Int::plus)
         socket.write(refusal(headers))
+        if (case.mutation == Mutation.REFUSAL_REPEATED_LATE) repeating += socket
     }
 
     private fun sendRepeated(
