Bound what the answers of all requests hold together

Callers could see (operators of similar systems did): a server that sends bytes without end to each of its requests fills the heap of the VM that called it, and all open requests of that VM end with it (LOST).

Cause: an answer may hold 2 MiB and an event 256 KiB, each on its own; 400 requests together may hold far more than the heap of 126 MB. Readers of replies that are small by their nature (the store, a watch, the list of VMs, duties, load reports, other VMs, lines of model engines) had no limit.

Change: ResponseMemory counts what buffered answers and incomplete events of all requests hold, and fails the one that would exceed a third of the heap. 32 KiB of each answer do not count, so that ordinary answers never fail because of large ones. An answer is no longer copied after it was read. readUpTo and readLineUpTo are the bounded reads of all other readers. It works because memory is counted before the next bytes are read and given back when the caller has the answer.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/backend/LoadReader.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/backend/LoadReader.kt
@@ -13,6 +13,7 @@
 import org.ragwortlever.core.configuration.ConfigurationSnapshot
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.traffic.TrafficEvent
+import org.ragwortlever.http.readUpTo
 import java.io.IOException
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -55,7 +56,11 @@
                 call: Call,
                 response: Response,
             ) = response.use { answer ->
-                if (answer.isSuccessful) parseLoad(id, answer.body.string())?.let(onReport)
+                try {
+                    if (answer.isSuccessful) parseLoad(id, answer.body.readUpTo(MAX_METRICS_BYTES).readUtf8())?.let(onReport)
+                } catch (failure: IOException) {
+                    onFailure(call, failure)
+                }
                 Unit
             }
 
@@ -69,6 +74,7 @@
     private companion object {
         val logger = KotlinLogging.logger {}
         val CALL_TIMEOUT = 1.seconds
+        const val MAX_METRICS_BYTES = 1024L * 1024
     }
 }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/UpstreamCall.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/UpstreamCall.kt
@@ -13,6 +13,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okio.BufferedSource
 import org.ragwortlever.http.SendTracker
+import org.ragwortlever.http.readLineUpTo
 import java.io.IOException
 
 /** A part of a completion. */
@@ -58,7 +59,8 @@
     fun next(): CompletionPart {
         val events = source ?: open()
         while (true) {
-            val line = events.readUtf8Line() ?: throw IOException("the stream ended without a finish reason and without [DONE]")
+            val line =
+                events.readLineUpTo(MAX_LINE_BYTES) ?: throw IOException("the stream ended without a finish reason and without [DONE]")
             if (!line.startsWith(DATA_PREFIX)) continue
             parsePart(line.removePrefix(DATA_PREFIX).trim())?.let { return it }
         }
@@ -99,6 +101,9 @@
     private companion object {
         val JSON = "application/json".toMediaType()
         const val DATA_PREFIX = "data:"
+
+        // An event holds about one token; a longer line is a fault of the server.
+        const val MAX_LINE_BYTES = 256L * 1024
         const val DONE_MARKER = "[DONE]"
     }
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -35,6 +35,7 @@
 import org.ragwortlever.daemon.control.SuspendAwareClock
 import org.ragwortlever.daemon.gateway.DispatchGateway
 import org.ragwortlever.daemon.gateway.RequestObserver
+import org.ragwortlever.daemon.gateway.ResponseMemory
 import org.ragwortlever.daemon.gateway.RoutedHeaderNames
 import org.ragwortlever.daemon.gateway.RoutedRequestHandler
 import org.ragwortlever.daemon.gateway.ServerCheck
@@ -158,7 +159,16 @@
             ): List<NodeRecord> = selectEntryVms(caller, registeredVms(), limit)
         }
     private val requestHandler =
-        RoutedRequestHandler(gateway, serverClient, ports.headers, activeRoutes::await, { stopDeadline }, MetricsObserver(), clock::now)
+        RoutedRequestHandler(
+            gateway = gateway,
+            servers = serverClient,
+            headerNames = ports.headers,
+            table = activeRoutes::await,
+            stopsAt = { stopDeadline },
+            observer = MetricsObserver(),
+            memory = ResponseMemory(),
+            now = clock::now,
+        )
     private val httpServer = UndertowListeners(listeners(), settings.http.limits())
 
     /** Starts reading the store and serving requests. Does not block. */
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/PeerCalls.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/PeerCalls.kt
@@ -22,6 +22,7 @@
 import org.ragwortlever.core.fleet.NodeRecord
 import org.ragwortlever.http.KeepAliveSocketFactory
 import org.ragwortlever.http.plainHttpClient
+import org.ragwortlever.http.readUpTo
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -60,7 +61,7 @@
         return try {
             call.execute().use { response ->
                 if (!response.isSuccessful) return Err("status ${response.code}")
-                route.responseSerializer.decode(response.body.bytes())
+                route.responseSerializer.decode(response.body.readUpTo(MAX_RESPONSE_BYTES).readByteArray())
             }
         } catch (failure: IOException) {
             Err(failure.toString())
@@ -104,3 +105,6 @@
 
 private val UNAVAILABLE = Response(Status.SERVICE_UNAVAILABLE)
 private const val MAX_REQUEST_BYTES = 64 * 1024
+
+// A relay's answer may hold the changes of a whole fleet.
+private const val MAX_RESPONSE_BYTES = 8L * 1024 * 1024
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ForwardedEventStream.kt
@@ -8,6 +8,7 @@
 import org.ragwortlever.core.answer.AnswerFraming
 import org.ragwortlever.core.answer.EventBuffer
 import org.ragwortlever.core.answer.EventSequence
+import org.ragwortlever.http.AnswerTooLongException
 import org.ragwortlever.http.ChunkStream
 import java.io.IOException
 
@@ -55,10 +56,11 @@
     reason: String,
 ) : IOException(reason)
 
-/** The stream that the caller reads. Not thread-safe. */
+/** The stream that the caller reads. It holds [memory] for incomplete events until it is closed. Not thread-safe. */
 internal class ForwardedEventStream(
     first: ServerEvents,
     private val source: StreamSource,
+    private val memory: ResponseMemory.Reservation,
 ) : ChunkStream() {
     private var events = first
     private var buffer = EventBuffer()
@@ -94,6 +96,7 @@
     override fun close() {
         if (!isEnded) source.onAbandoned()
         isEnded = true
+        memory.close()
     }
 
     /**
@@ -134,6 +137,8 @@
         val complete = buffer.append(chunk, count)
         if (complete == null) {
             if (buffer.size > MAX_EVENT_BYTES) throw AnswerTooLongException("an event exceeds the limit of $MAX_EVENT_BYTES bytes")
+            // The buffer doubles its size when it is full.
+            memory.growTo(2L * buffer.size)
             return null
         }
         sequence.append(complete.ids)?.let { throw EventOrderException(it) }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ResponseBodies.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ResponseBodies.kt
@@ -2,6 +2,7 @@
 package org.ragwortlever.daemon.gateway
 
 import okhttp3.Response
+import okio.Buffer
 import org.ragwortlever.core.answer.AnswerFraming
 import org.ragwortlever.core.answer.EventBuffer
 
@@ -30,10 +31,11 @@
  *
  * @throws IncompleteStreamException if it is not.
  */
-internal fun Response.checkContent(content: ByteArray) {
+internal fun Response.checkContent(content: Buffer) {
     if (!hasEvents) return
+    val bytes = content.snapshot().toByteArray()
     val buffer = EventBuffer()
-    buffer.checkEnd(framing, hasEvents = buffer.append(content, content.size)?.ids.orEmpty().isNotEmpty())
+    buffer.checkEnd(framing, hasEvents = buffer.append(bytes, bytes.size)?.ids.orEmpty().isNotEmpty())
 }
 
 private val Response.hasEvents: Boolean
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -45,6 +45,7 @@
  * Handles the requests on the routes of [table].
  *
  * @param table current routes; null until a configuration has been read.
+ * @param memory what the responses of all requests may hold together.
  * @param stopsAt when this VM cuts the requests that still run; null unless a shutdown was requested.
  */
 internal class RoutedRequestHandler(
@@ -54,6 +55,7 @@
     private val table: () -> RouteTable?,
     private val stopsAt: () -> Instant?,
     private val observer: RequestObserver,
+    private val memory: ResponseMemory,
     private val now: () -> Instant,
 ) {
     private val nextKey = AtomicLong()
@@ -168,30 +170,31 @@
             val headers = headerNames.filterResponseHeaders(response.headers.map { (name, value) -> name to value })
             val base = Response(Status(response.code, response.message)).headers(headers).withConnectionClose()
             if (request.route.kind == RouteKind.STREAM && response.isEventStream) return streamResponse(base, started, timeToFirstByte)
-            val content =
+            val answer =
                 try {
-                    response.body.readBytesUpTo(MAX_ANSWER_BYTES).also(response::checkContent)
+                    BufferedAnswer.read(response, memory)
                 } catch (failure: IOException) {
                     reportBreak(failure, "reading the response failed: $failure")
                     return null
                 }
-            if (response.code >= SERVER_ERROR_STATUS && request.route.isRepeatable) return retryServerError(base, content)
-            return finish(base.body(Body(content.inputStream(), content.size.toLong())), response.code, timeToFirstByte)
+            if (response.code >= SERVER_ERROR_STATUS && request.route.isRepeatable) return retryServerError(base, answer)
+            return finish(base, answer, timeToFirstByte)
         }
 
         /** Retries after a status of 500 or above; returns this server's response if the dispatcher allows no other attempt. */
         private fun retryServerError(
             base: Response,
-            content: ByteArray,
+            answer: BufferedAnswer,
         ): Response? {
             val status = base.status.code
             reportAttemptEnd(AttemptEnd.Failed(ServerFailure.ERROR), "status $status")
             val decision = gateway.awaitDecision(submitted)
-            if (decision is DispatchEffect.Send) return runAttempt(decision)
+            if (decision is DispatchEffect.Send) {
+                answer.close()
+                return runAttempt(decision)
+            }
             gateway.release(submitted)
-            if (status in NOT_RUN_STATUSES) return refuse(MAY_HAVE_RUN)
-            recordResponse(status, now() - arrival)
-            return base.body(Body(content.inputStream(), content.size.toLong()))
+            return passOn(base, answer, now() - arrival)
         }
 
         private fun streamResponse(
@@ -199,30 +202,46 @@
             started: AttemptStart.ResponseStarted,
             timeToFirstByte: Duration,
         ): Response? {
-            val events = ForwardedEventStream(started.response.serverEvents(), RoutedStream(base.status.code, started, timeToFirstByte))
+            val stream = RoutedStream(base.status.code, started, timeToFirstByte)
+            val events = ForwardedEventStream(started.response.serverEvents(), stream, memory.open())
             // The response head is sent with the first event, so that a server that fails before it can still be replaced.
             try {
                 events.prefetch()
             } catch (failure: IOException) {
+                events.close()
                 reportBreak(failure, "the stream failed before its first event: $failure")
                 return null
             }
             return base.body(Body(events, null))
         }
 
-        /** Ends the attempt and the request with [response], unless its [status] would promise that the request did not run. */
+        /** Ends the attempt and the request with the server's [answer]. */
         private fun finish(
-            response: Response,
-            status: Int,
+            base: Response,
+            answer: BufferedAnswer,
             timeToFirstByte: Duration,
         ): Response {
+            val status = base.status.code
             val failed = AttemptEnd.Failed(ServerFailure.ERROR, canResume = false)
             val end = if (status >= SERVER_ERROR_STATUS) failed else AttemptEnd.Answered
             gateway.post(DispatchEvent.AttemptEnded(request.key, end))
             gateway.release(submitted)
-            if (status in NOT_RUN_STATUSES) return refuse(MAY_HAVE_RUN)
+            return passOn(base, answer, timeToFirstByte)
+        }
+
+        /** Returns the response with the server's [answer], unless its status would promise that the request did not run. */
+        private fun passOn(
+            base: Response,
+            answer: BufferedAnswer,
+            timeToFirstByte: Duration,
+        ): Response {
+            val status = base.status.code
+            if (status in NOT_RUN_STATUSES) {
+                answer.close()
+                return refuse(MAY_HAVE_RUN)
+            }
             recordResponse(status, timeToFirstByte)
-            return response
+            return base.body(answer.toBody())
         }
 
         /** Logs the response and records its times. */
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -22,6 +22,7 @@
 import org.ragwortlever.core.backend.parseRetryAfter
 import org.ragwortlever.core.dispatch.AttemptEnd
 import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.http.AnswerTooLongException
 import org.ragwortlever.http.KeepAliveSocketFactory
 import org.ragwortlever.http.MalformedResponseException
 import org.ragwortlever.http.NotSentException
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/EtcdStore.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/EtcdStore.kt
@@ -28,6 +28,8 @@
 import org.ragwortlever.core.store.Transaction
 import org.ragwortlever.core.store.TransactionResult
 import org.ragwortlever.core.store.Write
+import org.ragwortlever.http.readLineUpTo
+import org.ragwortlever.http.readUpTo
 import java.io.IOException
 import java.net.ConnectException
 import java.util.Base64
@@ -119,7 +121,9 @@
         body: JsonObject,
         decode: (JsonObject) -> T,
     ): Result<T, StoreFailure> =
-        exchange(calls, path, body) { response -> decode(Json.parseToJsonElement(response.body.string()).jsonObject) }
+        exchange(calls, path, body) { response ->
+            decode(Json.parseToJsonElement(response.body.readUpTo(MAX_ANSWER_BYTES).readUtf8()).jsonObject)
+        }
 
     private fun <T> exchange(
         client: OkHttpClient,
@@ -159,7 +163,7 @@
 private fun Response.followWatch(onRevision: (Long) -> Boolean) {
     val source = body.source()
     while (true) {
-        val line = source.readUtf8Line() ?: return
+        val line = source.readLineUpTo(MAX_ANSWER_BYTES) ?: return
         val result = Json.parseToJsonElement(line).jsonObject["result"]?.jsonObject ?: continue
         val revision = result["header"]?.jsonObject?.get("revision")?.jsonPrimitive?.long ?: continue
         if ("events" in result && !onRevision(revision)) return
@@ -222,6 +226,8 @@
         }
     }
 
+private const val MAX_ANSWER_BYTES = 8L * 1024 * 1024
+
 /** The first key after all keys that start with this prefix. */
 private fun String.rangeEnd(): String = dropLast(1) + (last() + 1)
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/VirtualMachineList.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/VirtualMachineList.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.json.Json
 import okhttp3.OkHttpClient
 import okhttp3.Request
+import org.ragwortlever.http.readUpTo
 import java.io.IOException
 
 /** An entry VM as the platform lists it. */
@@ -35,11 +36,21 @@
     fun read(): Result<List<VirtualMachine>, String> =
         try {
             client.newCall(Request.Builder().url("$baseUrl/vms/v1/vms").build()).execute().use { response ->
-                if (response.isSuccessful) Ok(json.decodeFromString(response.body.string())) else Err("status ${response.code}")
+                if (response.isSuccessful) {
+                    Ok(
+                        json.decodeFromString(response.body.readUpTo(MAX_LIST_BYTES).readUtf8()),
+                    )
+                } else {
+                    Err("status ${response.code}")
+                }
             }
         } catch (failure: IOException) {
             Err(failure.message ?: failure.javaClass.simpleName)
         } catch (failure: SerializationException) {
             Err("invalid list of VMs: ${failure.message}")
         }
+
+    private companion object {
+        const val MAX_LIST_BYTES = 4L * 1024 * 1024
+    }
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/BoundedSender.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/BoundedSender.kt
@@ -11,6 +11,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.ragwortlever.http.UnconnectedSocketFactory
+import org.ragwortlever.http.readUpTo
 import java.io.IOException
 import java.net.ConnectException
 import kotlin.time.Duration
@@ -68,7 +69,7 @@
     ): SendOutcome {
         val taggedRequest = request.newBuilder().tag(FencingToken::class.java, FencingToken(fencing)).build()
         return try {
-            calls.newCall(taggedRequest).execute().use { SendOutcome.Answered(it.code, it.body.string()) }
+            calls.newCall(taggedRequest).execute().use { SendOutcome.Answered(it.code, it.body.readUpTo(MAX_ANSWER_BYTES).readUtf8()) }
         } catch (_: UnsafeToSendException) {
             SendOutcome.NotSent
         } catch (_: ConnectException) {
@@ -92,6 +93,7 @@
 
     private companion object {
         val JSON_TYPE = "application/json".toMediaType()
+        const val MAX_ANSWER_BYTES = 64L * 1024
     }
 }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/EndlessAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/EndlessAnswerTest.kt
@@ -9,7 +9,6 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import java.io.IOException
-import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
@@ -69,25 +68,7 @@
         expectThat(sentBytes.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isLessThan(MAX_SENT_BYTES)
     }
 
-    /** Writes [repeated] until the connection is closed and returns the number of bytes, at most [ENDLESS_BYTES]. */
-    private fun Socket.writeEndlessly(repeated: String): Long {
-        val packet = repeated.repeat(PACKET_BYTES / repeated.length).toByteArray()
-        var sent = 0L
-        try {
-            while (sent < ENDLESS_BYTES) {
-                getOutputStream().write(packet)
-                sent += packet.size
-            }
-        } catch (_: IOException) {
-            return sent
-        }
-        return sent
-    }
-
     private companion object {
-        const val PACKET_BYTES = 16 * 1024
-        const val ENDLESS_BYTES = 64L * 1024 * 1024
-
         // The limit for an answer, the framing of one-byte chunks and what the sockets of both sides buffer.
         const val MAX_SENT_BYTES = 24L * 1024 * 1024
         const val TIMEOUT_SECONDS = 20L
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
@@ -33,7 +33,10 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-internal class RoutedRequestFixture : AutoCloseable {
+/** @param memory what the answers of all requests may hold together. */
+internal class RoutedRequestFixture(
+    memory: ResponseMemory = ResponseMemory(),
+) : AutoCloseable {
     private val control = ControlLoop()
     private val dispatcher = Dispatcher(DispatchOptions("vm-1", "a"))
     private val serverCheck = ServerCheck()
@@ -100,7 +103,7 @@
             ) = Unit
         }
     private val handler =
-        RoutedRequestHandler(gateway, serverClient, headerNames, { RouteTable(document) }, { stopsAt }, observer) {
+        RoutedRequestHandler(gateway, serverClient, headerNames, { RouteTable(document) }, { stopsAt }, observer, memory) {
             Clock.System.now() +
                 threadDelay
         }
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/ScriptedServer.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/ScriptedServer.kt
@@ -104,3 +104,21 @@
 
 /** Writes one chunk of a chunked response. */
 internal fun Socket.chunk(text: String) = write("${text.length.toString(16)}\r\n$text\r\n")
+
+/** Writes [repeated] until the connection is closed and returns the number of bytes, at most [ENDLESS_BYTES]. */
+internal fun Socket.writeEndlessly(repeated: String): Long {
+    val packet = repeated.repeat(PACKET_BYTES / repeated.length).toByteArray()
+    var sent = 0L
+    try {
+        while (sent < ENDLESS_BYTES) {
+            getOutputStream().write(packet)
+            sent += packet.size
+        }
+    } catch (_: IOException) {
+        // The client closed the connection.
+    }
+    return sent
+}
+
+private const val PACKET_BYTES = 16 * 1024
+private const val ENDLESS_BYTES = 64L * 1024 * 1024
