Bound what clients make a server hold, and receive bodies without a thread

Cause: 400 threads could each wait for a body of 4 MiB and its copy in a heap of 126 MB; connections and heads had no bound but the descriptors.

Change: core.intake decides on connections and bytes, with the time passed in; http asks it before the HTTP library sees a connection and before it keeps a byte. A request gets a thread when it has been received in full. Stalled requests go first when room is needed, small ones have a share of their own. ServerSockets opens the listening sockets itself, since the library's own server shows a connection only with its first complete request.

Ruled out: closing turned-away connections in the accepting thread leaves their descriptors open until the next selection (600 heads then used all 512 descriptors for 30 s); accepting a few at a time leaves the others in XNIO's queue with their descriptors. Now the kernel holds back what exceeds the limit.

--- a/http/src/main/kotlin/org/ragwortlever/http/CallerWatch.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/CallerWatch.kt
@@ -9,11 +9,16 @@
 import org.xnio.conduits.ConduitStreamSourceChannel
 import java.io.IOException
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
 
 /** Watches the connection of one running request for a disconnect of the caller. Thread-safe. */
 class CallerWatch private constructor(
     private val exchange: HttpServerExchange,
+    private val requestStartNanoseconds: Long,
 ) {
+    /** Time since the first byte of the request arrived; a request may wait for the rest of it and for a thread. */
+    val requestAge: Duration get() = (System.nanoTime() - requestStartNanoseconds).nanoseconds
     private val connection = exchange.connection as AbstractServerConnection
     private val channel: ConduitStreamSourceChannel = connection.channel.sourceChannel
     private val actions = CopyOnWriteArrayList<() -> Unit>()
@@ -113,9 +118,10 @@
         /** Runs [handle] with a watch on the connection of [exchange] as the [current] one of this thread. */
         internal fun <T> runWatched(
             exchange: HttpServerExchange,
+            requestStartNanoseconds: Long,
             handle: () -> T,
         ): T {
-            val watch = CallerWatch(exchange)
+            val watch = CallerWatch(exchange, requestStartNanoseconds)
             currentWatch.set(watch)
             try {
                 return handle()
--- a/http/src/main/kotlin/org/ragwortlever/http/UndertowServer.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/UndertowServer.kt
@@ -1,12 +1,11 @@
 /*
  * Runs http4k handlers on Undertow. This adapter replaces http4k's own Undertow module, which is not available from the
- * registry. Bodies are streamed in both directions: a response body of unknown length is copied chunk by chunk, and
- * each chunk is flushed, so that the caller gets what its source has produced so far.
+ * registry. A request is received in full before its handler gets a thread; response bodies are streamed: one of unknown
+ * length is copied chunk by chunk, and each chunk is flushed, so that the caller gets what its source has produced so far.
  */
 package org.ragwortlever.http
 
-import io.undertow.Undertow
-import io.undertow.UndertowOptions
+import com.sun.management.UnixOperatingSystemMXBean
 import io.undertow.server.AbstractServerConnection
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.handlers.BlockingHandler
@@ -18,22 +17,26 @@
 import org.http4k.core.Request
 import org.http4k.core.RequestSource
 import org.http4k.core.Response
+import org.http4k.core.Status
 import org.http4k.core.Uri
 import org.http4k.server.Http4kServer
 import org.http4k.server.ServerConfig
 import org.http4k.server.ServerConfig.StopMode
+import org.ragwortlever.core.intake.IntakeLimits
+import org.ragwortlever.core.intake.RequestRejection
 import org.xnio.Options
 import java.io.IOException
 import java.io.InputStream
 import java.io.OutputStream
-import java.net.InetSocketAddress
+import java.lang.management.ManagementFactory
 import java.net.URI
+import kotlin.time.Clock
 
 /**
  * Limits for the connections and requests of a server.
  *
  * @property maxHeaderBytes maximum total size of a request's headers, in bytes.
- * @property maxBodyBytes maximum size of a request's body, in bytes; checked by the handlers, not by the server.
+ * @property maxBodyBytes maximum size of a request's body, in bytes; a listener can have its own.
  * @property idleTimeoutMilliseconds how long a connection may stay idle between requests, in milliseconds.
  * @property workerThreads number of threads that run handlers; each running request occupies one.
  */
@@ -59,57 +62,165 @@
  * An address to listen on and the handler for its requests.
  *
  * @property isNonBlocking whether the handler never blocks; it then runs on the connection's I/O thread and responds
- *   even while all worker threads are busy.
+ *   even while all worker threads are busy. It gets no bodies.
+ * @property isInternal whether only the system's own processes connect; their connections are counted apart from others.
+ * @property maxBodyBytes maximum size of a request's body, in bytes, read for each request; null for that of the server.
+ * @property reject returns the response to a request that is not accepted; runs on an I/O thread and must not block.
  */
-data class HttpListener(
+class HttpListener(
     val host: String,
     val port: Int,
     val handler: HttpHandler,
     val isNonBlocking: Boolean = false,
+    val isInternal: Boolean = false,
+    val maxBodyBytes: (() -> Long)? = null,
+    val reject: (Request, RequestRejection) -> Response = { _, rejection -> rejection.toPlainResponse() },
 )
 
-/** A server with several listeners that share its threads; [port] returns the port of the first one. */
+/**
+ * A server with several listeners that share its threads; [port] returns the port of the first one.
+ *
+ * @param intake what the clients of the listeners may make the process hold; null for limits that suit the process.
+ */
 class UndertowListeners(
-    listeners: List<HttpListener>,
-    limits: HttpLimits,
+    private val listeners: List<HttpListener>,
+    private val limits: HttpLimits,
+    private val intake: (() -> IntakeLimits)? = null,
+    private val observer: IntakeObserver = object : IntakeObserver {},
 ) : Http4kServer {
-    private val undertow: Undertow =
-        listeners
-            .fold(Undertow.builder()) { builder, listener ->
-                builder.addHttpListener(listener.port, listener.host, listener.rootHandler())
+    private val clients = connections(intake ?: ::intakeOfProcess, observer)
+    private val internals = connections(::intakeOfProcess, object : IntakeObserver {})
+    private val sockets = ServerSockets(limits)
+
+    /** Number of open connections of clients. */
+    val openConnections: Int get() = clients.openConnections
+
+    /** Bytes that the requests of clients hold together. */
+    val reservedBytes: Long get() = clients.reservedBytes
+
+    override fun start(): Http4kServer =
+        apply {
+            clients.start()
+            internals.start()
+            listeners.forEach { listener ->
+                val connections = if (listener.isInternal) internals else clients
+                sockets.listen(listener.host, listener.port, connections, listener.rootHandler(connections, limits))
             }
-            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes)
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMilliseconds)
-            .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-            // Handlers get the path undecoded and reject what they do not support, each with its own error response.
-            .setServerOption(UndertowOptions.DECODE_URL, false)
-            .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-            .setIoThreads(IO_THREADS)
-            .setWorkerThreads(limits.workerThreads)
-            .build()
+        }
+
+    override fun stop(): Http4kServer =
+        apply {
+            sockets.close()
+            clients.close()
+            internals.close()
+        }
 
-    override fun start(): Http4kServer = apply { undertow.start() }
+    override fun port(): Int = sockets.firstPort
 
-    override fun stop(): Http4kServer = apply { undertow.stop() }
+    private fun connections(
+        limitsOfIntake: () -> IntakeLimits,
+        observer: IntakeObserver,
+    ) = ClientConnections(limitsOfIntake, limits.maxHeaderBytes + UNFRAMED_MARGIN_BYTES, observer) { Clock.System.now() }
 
-    override fun port(): Int = (undertow.listenerInfo.first().address as InetSocketAddress).port
+    private fun intakeOfProcess() =
+        IntakeLimits.of(Runtime.getRuntime().maxMemory(), maxDescriptors, limits.maxBodyBytes)
 
     private companion object {
-        const val IO_THREADS = 2
+        // The line of a request, and one buffer that holds the begin of what follows.
+        const val UNFRAMED_MARGIN_BYTES = 20 * 1024
     }
 }
 
-private fun HttpListener.rootHandler(): io.undertow.server.HttpHandler {
-    if (isNonBlocking) return io.undertow.server.HttpHandler { exchange -> exchange.handleOnIoThread(handler) }
-    return BlockingHandler { exchange ->
-        if (exchange.hasAmbiguousFraming()) {
-            exchange.rejectAmbiguousFraming()
-        } else {
-            CallerWatch.runWatched(exchange) { exchange.handleStreaming(handler) }
+/** File descriptors that this process may open. */
+val maxDescriptors: Long by lazy {
+    (ManagementFactory.getOperatingSystemMXBean() as? UnixOperatingSystemMXBean)?.maxFileDescriptorCount ?: DEFAULT_DESCRIPTORS
+}
+
+private const val DEFAULT_DESCRIPTORS = 1024L
+
+private fun HttpListener.rootHandler(
+    connections: ClientConnections,
+    limits: HttpLimits,
+): io.undertow.server.HttpHandler {
+    if (isNonBlocking) return io.undertow.server.HttpHandler { exchange -> connections.track(exchange) { exchange.handleOnIoThread(handler) } }
+    return io.undertow.server.HttpHandler { exchange ->
+        connections.track(exchange) { connection ->
+            when {
+                exchange.hasAmbiguousFraming() -> exchange.rejectAmbiguousFraming()
+                exchange.isRequestComplete -> exchange.dispatchTo(handler, Body.EMPTY, connection, connections)
+                else -> receiveBody(exchange, connection, connections, limits)
+            }
         }
     }
 }
 
+/** Runs [handle] for the request of [exchange], and gives back what the request holds at its end. */
+private fun ClientConnections.track(
+    exchange: HttpServerExchange,
+    handle: (ClientConnectionState) -> Unit,
+) {
+    val connection = of(exchange) ?: return exchange.connection.close()
+    exchange.addExchangeCompleteListener { _, next ->
+        connection.release()
+        next.proceed()
+    }
+    handle(connection)
+}
+
+private fun HttpListener.receiveBody(
+    exchange: HttpServerExchange,
+    connection: ClientConnectionState,
+    connections: ClientConnections,
+    limits: HttpLimits,
+) {
+    val maxBytes = maxBodyBytes?.invoke() ?: limits.maxBodyBytes
+    BodyReceiver(
+        exchange,
+        connection,
+        maxBytes,
+        onReceived = { content -> exchange.dispatchTo(handler, ReceivedBody(content), connection, connections) },
+        onRejected = { rejection ->
+            connections.observer.onRejected(rejection)
+            connection.discardUpTo(maxBytes)
+            exchange.sendRejection { reject(exchange.toRequest(Body.EMPTY), rejection) }
+        },
+    ).start()
+}
+
+/** Runs [handler] for the request, whose [body] has been received, on a worker thread. */
+private fun HttpServerExchange.dispatchTo(
+    handler: HttpHandler,
+    body: Body,
+    connection: ClientConnectionState,
+    connections: ClientConnections,
+) {
+    connection.complete()
+    connections.waitingRequests.incrementAndGet()
+    val blocking =
+        BlockingHandler { exchange ->
+            connections.waitingRequests.decrementAndGet()
+            CallerWatch.runWatched(exchange, connection.requestStartNanoseconds) { exchange.handleStreaming(handler, body) }
+        }
+    dispatch(blocking)
+}
+
+/** Sends the response that [respond] returns and closes the connection, since the rest of the request is not read. */
+private fun HttpServerExchange.sendRejection(respond: () -> Response) {
+    val response = runCatching(respond).getOrElse { return connection.close() }
+    statusCode = response.status.code
+    response.headers.forEach { (name, value) -> responseHeaders.add(HttpString(name), value.orEmpty()) }
+    isPersistent = false
+    responseHeaders.put(Headers.CONNECTION, "close")
+    responseSender.send(response.bodyString())
+}
+
+private fun RequestRejection.toPlainResponse(): Response =
+    when (this) {
+        RequestRejection.BODY_TOO_LARGE -> Response(Status.REQUEST_ENTITY_TOO_LARGE)
+        RequestRejection.MALFORMED_BODY -> Response(Status.BAD_REQUEST)
+        RequestRejection.NO_ROOM -> Response(Status.SERVICE_UNAVAILABLE).header("Retry-After", "1")
+    }
+
 /** Runs a non-blocking handler on the connection's I/O thread and sends its response, whose body is in memory. */
 private fun HttpServerExchange.handleOnIoThread(http: HttpHandler) {
     val response = http(toRequest(Body.EMPTY))
@@ -126,11 +237,14 @@
     endExchange()
 }
 
-/** Runs a handler on a worker thread and streams the request's and the response's body. */
-private fun HttpServerExchange.handleStreaming(http: HttpHandler) {
+/** Runs a handler on a worker thread and streams the response's body. */
+private fun HttpServerExchange.handleStreaming(
+    http: HttpHandler,
+    content: Body,
+) {
     val response =
         try {
-            http(toRequest(Body(inputStream, requestContentLength.takeIf { it >= 0 })))
+            http(toRequest(content))
         } catch (_: IOException) {
             // The handler has no response, so the connection is closed: a caller would take an error response for the handler's.
             connection.close()
