Carry out roll-outs and intake in the daemon, and check each send once more

Change: the store's orders and records of roll-outs are followed by all VMs; RolloutRole decides under the duties' lease, RolloutReporter carries the evidence. The callers' port refuses what the intake does not accept (413, 400, 503 no-room). A request's time runs from its first byte. Immediately before the first byte is sent, a network interceptor asks whether the server is still usable by what this VM has read last.

Ruled out: asking at that moment whether the decision is older than 0.5 s.

--- a/core/src/main/kotlin/org/ragwortlever/core/backend/BackendServer.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/BackendServer.kt
@@ -13,6 +13,7 @@
  * @property coldFor time from the announcement during which the server can only take light load (slow start).
  * @property isSpot whether the server runs on a spot instance, which may be reclaimed at a few seconds' notice.
  * @property sequence sequence number of the announcement.
+ * @property version version of the software that the server runs; empty if it does not say.
  */
 data class BackendServer(
     val id: String,
@@ -25,4 +26,5 @@
     val coldFor: Duration,
     val isSpot: Boolean,
     val sequence: Long,
+    val version: String = "",
 )
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -7,6 +7,8 @@
 import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.backend.ServerNotice
 import org.ragwortlever.core.error.Refusal
+import org.ragwortlever.core.rollout.RolloutRecord
+import org.ragwortlever.core.rollout.VersionShare
 import org.ragwortlever.core.route.Route
 import org.ragwortlever.core.route.ServiceDefinition
 import kotlin.time.Duration
@@ -184,6 +186,17 @@
         val parts: List<QuarantinedPart>,
     ) : DispatchEvent
 
+    /**
+     * The roll-outs have changed.
+     *
+     * @property shares what the version under roll-out of a service gets, by service.
+     * @property open roll-outs whose versions are compared.
+     */
+    data class RolloutsChanged(
+        val shares: Map<String, VersionShare>,
+        val open: List<RolloutRecord>,
+    ) : DispatchEvent
+
     /** Another entry VM reports that [server] crashed while it ran requests with [digests]. */
     data class CrashReportReceived(
         val server: String,
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -14,6 +14,7 @@
 import org.ragwortlever.core.error.Executed
 import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.fleet.ServiceLoad
+import org.ragwortlever.core.rollout.VersionEvidence
 import org.ragwortlever.core.route.ServiceDefinition
 import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.milliseconds
@@ -42,6 +43,7 @@
     private val poolDecider = PoolDecider(pool, quarantine)
     private val deciderSelector = DeciderSelector(options.node)
     private val reporter = PoolReporter(options.node)
+    private val versions = VersionTraffic(pool)
     private val crashes = CrashTracker(pool, deciderSelector, reporter, quarantine)
     private val open = LinkedHashMap<Long, OpenRequest>()
     private val retryBudgets = HashMap<String, ServiceRetryBudget>()
@@ -62,6 +64,9 @@
             ServiceLoad(seconds, runningAttemptsAt(service).size)
         }
 
+    /** What the versions of [service] have answered to this VM's requests; null if it is not under roll-out. */
+    fun versionEvidence(service: String): VersionEvidence? = versions.evidence(service, runningAttemptsAt(service))
+
     /** Handles [event] at the time [now] and returns the effects to carry out, in order. */
     fun handle(
         event: DispatchEvent,
@@ -81,6 +86,7 @@
             is DispatchEvent.QuarantineReceived -> quarantine.merge(event.parts, now)
             is DispatchEvent.TakenOutZonesChanged -> pool.zonesTakenOut = event.zones
             is DispatchEvent.NodesChanged -> updateNodes(event, now)
+            is DispatchEvent.RolloutsChanged -> versions.replace(event)
             is DispatchEvent.CrashReportReceived -> crashes.applyReport(event, now)
             is DispatchEvent.QuestionReceived -> effects += DispatchEffect.Answer(poolDecider.reply(event.question, now))
             is DispatchEvent.ReportReceived -> poolDecider.applyReport(event.report, now)
@@ -116,6 +122,7 @@
         effects: MutableList<DispatchEffect>,
     ) {
         val attempt = open[key]?.running ?: return
+        if (attempt.firstByteAt == null) versions.recordFirstByte(attempt, now)
         attempt.firstByteAt = now
         attempt.server.recordResponse(now)
         pool.limits.recordAnswer(attempt.server.known.server, attempt.startedAt)
@@ -146,6 +153,7 @@
                 retry(openRequest, end.failure, now, effects)
             }
             is AttemptEnd.Failed -> {
+                versions.recordFailure(attempt, end.failure)
                 attempt.server.recordFailure(end.failure, now)
                 openRequest.failedServers += attempt.server.id
                 if (end.failure == ServerFailure.BROKEN) crashes.recordBreak(attempt, now, effects)
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerPool.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerPool.kt
@@ -5,6 +5,8 @@
 import org.ragwortlever.core.backend.KnownServer
 import org.ragwortlever.core.backend.ServerNotice
 import org.ragwortlever.core.backend.SlowStartLimiter
+import org.ragwortlever.core.rollout.VersionShare
+import org.ragwortlever.core.rollout.VersionedServer
 import org.ragwortlever.core.route.ServiceDefinition
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -32,6 +34,9 @@
         private set
     var zonesTakenOut: Set<String> = emptySet()
 
+    /** What the version under roll-out of a service gets, by service. */
+    var versionShares: Map<String, VersionShare> = emptyMap()
+
     fun find(id: String): ServerState? = servers[id]
 
     /** Sets the entry VMs that take requests. */
@@ -74,6 +79,7 @@
         val eligible =
             serversOf(service.name, now)
                 .filter { it.id !in failedServers && maySendNow(it, service, now) && hasAllowance(it, now) }
+                .filterByVersion(service.name, request.id, isRetry = failedServers.isNotEmpty(), now)
                 .filterByPromptLength(demand, findShortPromptServers(service.name, engineTokens))
         val untried = eligible.filter { it.id !in rejectingServers }
         val candidates = if (untried.isEmpty() && rejectingServers.size <= eligible.size) eligible else untried
@@ -103,6 +109,7 @@
         val eligible =
             candidatesFor(question, now)
                 .filterByAllowance(urgentRequests, now)
+                .filterByVersion(service, question.requestId, isRetry = question.hasBegun, now)
                 .filterByPromptLength(demand, reservedForShortPrompts)
         val healthy = eligible.filter { now >= it.health.avoidUntil }.ifEmpty { eligible }
         val context = ScoreContext(question.zone, nodes.size, isShared = true, engineTokens, reservedForShortPrompts, reserved)
@@ -117,6 +124,17 @@
         it.id !in question.excluded && (!it.isCold(now) || it.id in question.cold)
     }
 
+    /** Leaves out the servers of the version that the request does not go to, if the service is under roll-out. */
+    private fun List<ServerState>.filterByVersion(
+        service: String,
+        requestId: String,
+        isRetry: Boolean,
+        now: Instant,
+    ): List<ServerState> {
+        val share = versionShares[service] ?: return this
+        return share.filter(this, requestId, isRetry, serversOf(service, now)) { VersionedServer(it.id, it.known.server.version) }
+    }
+
     /** Leaves out servers with a request limit that is used up, or whose last requests are left to the more urgent ones. */
     private fun List<ServerState>.filterByAllowance(
         urgentRequests: Int,
@@ -185,7 +203,8 @@
     ): ServerState? =
         servers[advice.server]?.takeIf {
             it.known.server.incarnation == advice.incarnation && it.zone !in zonesTakenOut &&
-                it.availability.isAvailable(now) && maySendNow(it, service, now)
+                it.availability.isAvailable(now) && maySendNow(it, service, now) &&
+                versionShares[service.name]?.allows(it.known.server.version) != false
         }
 
     /** Records that a request is sent to [server]. */
--- a/core/src/main/kotlin/org/ragwortlever/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/error/ErrorKind.kt
@@ -17,6 +17,7 @@
     NOT_FOUND("not-found"),
     METHOD_NOT_ALLOWED("method-not-allowed"),
     BODY_TOO_LARGE("body-too-large"),
+    NO_ROOM("no-room"),
     ACCOUNT_LIMIT_EXCEEDED("account-limit-exceeded"),
     WAIT_EXCEEDED("wait-exceeded"),
     NO_BACKEND_SERVER("no-backend-server"),
@@ -55,6 +56,7 @@
         ErrorKind.NOT_FOUND -> ErrorAnswer(404, "There is nothing at this address")
         ErrorKind.METHOD_NOT_ALLOWED -> ErrorAnswer(405, "The method is not allowed at this address")
         ErrorKind.BODY_TOO_LARGE -> ErrorAnswer(413, "The request body exceeds the limit")
+        ErrorKind.NO_ROOM -> ErrorAnswer(503, "The entry VM has no room for the request")
         ErrorKind.ACCOUNT_LIMIT_EXCEEDED -> ErrorAnswer(429, "The client account has reached its limit")
         ErrorKind.WAIT_EXCEEDED -> ErrorAnswer(503, "The request cannot start within its class's wait")
         ErrorKind.NO_BACKEND_SERVER -> ErrorAnswer(503, "No backend server can take the request")
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetRecords.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetRecords.kt
@@ -9,6 +9,8 @@
 import kotlinx.serialization.json.Json
 import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.key.sha256Hex
+import org.ragwortlever.core.rollout.RolloutOrder
+import org.ragwortlever.core.rollout.RolloutRecord
 import org.ragwortlever.core.route.RoutingDocument
 
 /** A store entry, or its removal, decoded as an event of the fleet. */
@@ -48,6 +50,24 @@
     data class PartQuarantined(
         val quarantine: QuarantineRecord,
     ) : FleetRecord
+
+    /** The operators want the traffic of a service moved to another version. */
+    data class RolloutOrdered(
+        val order: RolloutOrder,
+    ) : FleetRecord
+
+    data class RolloutWithdrawn(
+        val service: String,
+    ) : FleetRecord
+
+    /** The holder of the fleet's duties has decided on a roll-out. */
+    data class RolloutDecided(
+        val record: RolloutRecord,
+    ) : FleetRecord
+
+    data class RolloutForgotten(
+        val service: String,
+    ) : FleetRecord
 }
 
 /**
@@ -123,6 +143,7 @@
     private const val NODES = PREFIX + "nodes/"
     private const val CRASHES = PREFIX + "crashes/"
     private const val QUARANTINES = PREFIX + "quarantines/"
+    private const val ROLLOUTS = PREFIX + "rollouts/"
 
     /** Key of the entry VM [name]. */
     fun node(name: String): String = NODES + name
@@ -139,6 +160,9 @@
         part: String,
     ): String = QUARANTINES + sha256Hex("$service\n$part".toByteArray())
 
+    /** Key of the roll-out of [service]. */
+    fun rollout(service: String): String = ROLLOUTS + service
+
     /** Decodes the store entry [key] with [value]; null if the key is of another kind or the value is malformed. */
     fun decode(
         key: String,
@@ -154,13 +178,21 @@
             key.startsWith(QUARANTINES) -> {
                 decoded { FleetRecord.PartQuarantined(Json.decodeFromString(QuarantineRecord.serializer(), value)) }
             }
+            key.startsWith(ROLLOUTS) -> {
+                decoded { FleetRecord.RolloutDecided(Json.decodeFromString(RolloutRecord.serializer(), value)) }
+            }
             else -> {
                 null
             }
         }
 
     /** Returns the record for the removal of [key]; null if no record depends on it. */
-    fun removal(key: String): FleetRecord? = if (key.startsWith(NODES)) FleetRecord.NodeRemoved(key.removePrefix(NODES)) else null
+    fun removal(key: String): FleetRecord? =
+        when {
+            key.startsWith(NODES) -> FleetRecord.NodeRemoved(key.removePrefix(NODES))
+            key.startsWith(ROLLOUTS) -> FleetRecord.RolloutForgotten(key.removePrefix(ROLLOUTS))
+            else -> null
+        }
 
     private fun decoded(read: () -> FleetRecord): FleetRecord? = runCatching(read).getOrNull()
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -6,12 +6,14 @@
 
 import org.ragwortlever.core.backend.ServerCatalog
 import org.ragwortlever.core.backend.StoreOutage
+import org.ragwortlever.core.rollout.RolloutOrder
+import org.ragwortlever.core.rollout.RolloutRecord
 import org.ragwortlever.core.route.RoutingDocument
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** The part of the view that changed. */
-enum class FleetChange { SERVERS, CONFIGURATION, ZONES, NODES }
+enum class FleetChange { SERVERS, CONFIGURATION, ZONES, NODES, ROLLOUTS }
 
 /** State of the fleet; not thread-safe, confined to one thread. */
 class FleetView {
@@ -28,6 +30,14 @@
     var zonesTakenOut: Set<String> = emptySet()
         private set
 
+    /** Roll-outs that the operators have ordered, by service. */
+    var rolloutOrders: Map<String, RolloutOrder> = emptyMap()
+        private set
+
+    /** Decisions on roll-outs, by service. */
+    var rollouts: Map<String, RolloutRecord> = emptyMap()
+        private set
+
     /** Entry VMs that take requests, by name. */
     val nodes: Map<String, NodeRecord> get() = registered
 
@@ -46,11 +56,18 @@
             is FleetRecord.ZoneBroughtBack -> zonesTakenOut -= record.zone
             is FleetRecord.NodeRegistered -> register(record.node)
             is FleetRecord.NodeRemoved -> unregister(record.name, now)
+            is FleetRecord.RolloutOrdered -> rolloutOrders += record.order.service to record.order
+            is FleetRecord.RolloutWithdrawn -> rolloutOrders -= record.service
+            is FleetRecord.RolloutDecided -> rollouts += record.record.service to record.record
+            is FleetRecord.RolloutForgotten -> rollouts -= record.service
             is FleetRecord.CrashReported, is FleetRecord.PartQuarantined -> return null
         }
         return when (record) {
             is FleetRecord.ServerAnnounced, is FleetRecord.ServerRemoved -> FleetChange.SERVERS
             is FleetRecord.ZoneTakenOut, is FleetRecord.ZoneBroughtBack -> FleetChange.ZONES
+            is FleetRecord.RolloutOrdered, is FleetRecord.RolloutWithdrawn,
+            is FleetRecord.RolloutDecided, is FleetRecord.RolloutForgotten,
+            -> FleetChange.ROLLOUTS
             else -> FleetChange.NODES
         }
     }
@@ -62,6 +79,8 @@
     ) {
         servers.replaceAll(records.filterIsInstance<FleetRecord.ServerAnnounced>().map { it.server }, now)
         zonesTakenOut = records.filterIsInstance<FleetRecord.ZoneTakenOut>().mapTo(HashSet()) { it.zone }
+        rolloutOrders = records.filterIsInstance<FleetRecord.RolloutOrdered>().associate { it.order.service to it.order }
+        rollouts = records.filterIsInstance<FleetRecord.RolloutDecided>().associate { it.record.service to it.record }
         val listed = records.filterIsInstance<FleetRecord.NodeRegistered>().map { it.node }
         registered.keys.filter { name -> listed.none { it.name == name } }.forEach { unregister(it, now) }
         listed.forEach { register(it) }
--- a/core/src/main/kotlin/org/ragwortlever/core/route/RoutingDocument.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/route/RoutingDocument.kt
@@ -103,11 +103,13 @@
  *
  * @property headerBytes maximum total size of the request headers, in bytes.
  * @property bodyBytes maximum size of the request body, in bytes.
+ * @property headerTimeout maximum time for the head of a request to arrive.
  * @property idleTimeout maximum time for which a connection may be idle.
  */
 data class CallerLimits(
     val headerBytes: Int = 32 * 1024,
     val bodyBytes: Long = 8L * 1024 * 1024,
+    val headerTimeout: Duration = 10.seconds,
     val idleTimeout: Duration = 60.seconds,
 )
 
--- a/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/settings/FleetSettings.kt
@@ -80,6 +80,8 @@
                 located.errorAt("$.peerPort", "must be from 0 to 65535").takeIf { settings.peerPort !in 0..65535 },
                 located.errorAt("$.processorShare", "must be positive").takeIf { settings.processorShare <= 0 },
                 located.errorAt("$.processors", "must be positive").takeIf { settings.processors <= 0 },
+                located.errorAt("$.http.connections", "must not be negative").takeIf { settings.http.connections < 0 },
+                located.errorAt("$.http.requestBytes", "must not be negative").takeIf { settings.http.requestBytes < 0 },
                 located.errorAt("$.metricsPort", "must be from 0 to 65535").takeIf { settings.metricsPort !in 0..65535 },
                 located.errorAt("$.bounds.gracePeriodSeconds", "must be positive").takeIf { settings.bounds.gracePeriodSeconds <= 0 },
                 located.errorAt("$.bounds.leaseSeconds", "must be at least 1").takeIf { settings.bounds.leaseSeconds < 1 },
--- a/core/src/main/kotlin/org/ragwortlever/core/settings/Settings.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/settings/Settings.kt
@@ -62,6 +62,8 @@
  * @property bodyBytes maximum size of the request body, in bytes.
  * @property idleSeconds maximum time for which a connection may be idle between requests, in seconds.
  * @property workerThreads maximum number of requests that this entry VM handles concurrently.
+ * @property connections maximum number of open connections of callers; 0 for as many as memory and descriptors allow.
+ * @property requestBytes maximum number of bytes that all unanswered requests hold together; 0 for a sixth of the heap.
  */
 @Serializable
 data class HttpSettings(
@@ -69,6 +71,8 @@
     val bodyBytes: Long = 8L * 1024 * 1024,
     val idleSeconds: Int = 60,
     val workerThreads: Int = 256,
+    val connections: Int = 0,
+    val requestBytes: Long = 0,
 )
 
 /**
@@ -104,6 +108,8 @@
         located.faultUnless("$.http.bodyBytes", http.bodyBytes in 1..MAXIMUM_BODY_BYTES, "must be from 1 to $MAXIMUM_BODY_BYTES"),
         located.faultUnless("$.http.idleSeconds", http.idleSeconds in 1..3600, "must be from 1 to 3600"),
         located.faultUnless("$.http.workerThreads", http.workerThreads in 4..4096, "must be from 4 to 4096"),
+        located.faultUnless("$.http.connections", http.connections >= 0, "must not be negative"),
+        located.faultUnless("$.http.requestBytes", http.requestBytes >= 0, "must not be negative"),
         located.faultUnless("$.drain.entryVmMaxAgeSeconds", drain.entryVmMaxAgeSeconds in 1..600, "must be from 1 to 600"),
         located.faultUnless("$.drain.streamSeconds", drain.streamSeconds > 0, "must be positive"),
     )
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/Daemon.kt
@@ -9,9 +9,11 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
+import org.http4k.core.Response
 import org.http4k.server.Http4kServer
 import org.http4k.server.asServer
 import org.ragwortlever.core.configuration.ConfigurationSnapshot
+import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.membership.Peer
 import org.ragwortlever.core.settings.Settings
@@ -28,6 +30,8 @@
 import org.ragwortlever.daemon.caller.ServiceForwarder
 import org.ragwortlever.daemon.caller.TrafficGateway
 import org.ragwortlever.daemon.caller.entryVmsResponse
+import org.ragwortlever.daemon.caller.toRefusal
+import org.ragwortlever.daemon.caller.toResponse
 import org.ragwortlever.daemon.configuration.ConfigurationReplica
 import org.ragwortlever.daemon.configuration.ConfigurationRepository
 import org.ragwortlever.daemon.control.ControlLoop
@@ -40,10 +44,13 @@
 import org.ragwortlever.daemon.platform.VirtualMachine
 import org.ragwortlever.daemon.platform.VirtualMachineList
 import org.ragwortlever.daemon.role.ExclusiveRoles
+import org.ragwortlever.http.HttpListener
 import org.ragwortlever.http.OkHttpHandler
+import org.ragwortlever.http.UndertowListeners
 import org.ragwortlever.http.UndertowServer
 import org.ragwortlever.http.plainHttpClient
 import org.ragwortlever.http.trackSends
+import java.util.UUID
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
@@ -110,10 +117,14 @@
         loads = LoadReader(client, follower::current, peers::liveNodeCount, gateway::post)
         Gauge.builder("ragwortlever.requests.open") { gateway.openRequests }.register(metrics)
         Gauge.builder("ragwortlever.configuration.revision") { follower.current.revision }.register(metrics)
-        callerServer =
-            open.countRequests(
-                callerRoutes().handler,
-            ).asServer(UndertowServer(settings.address, settings.callerPort, settings.http.limits()))
+        val callers =
+            HttpListener(
+                settings.address,
+                settings.callerPort,
+                open.countRequests(callerRoutes().handler),
+                reject = { _, rejection -> rejectedResponse(rejection.toRefusal(settings.http.bodyBytes)) },
+            )
+        callerServer = UndertowListeners(listOf(callers), settings.http.limits())
         operatorServer = operatorRoutes().handler.asServer(UndertowServer(settings.address, settings.operatorPort))
     }
 
@@ -201,6 +212,11 @@
             usage = roles.usage::readSealedWindowsJson,
         )
 
+    private fun rejectedResponse(refusal: Refusal): Response {
+        val requestId = UUID.randomUUID().toString()
+        return refusal.toResponse(requestId).header("X-Request-Id", requestId)
+    }
+
     private fun entryVms(caller: String) =
         entryVmsResponse(peers.entryVms(caller), settings.drain.entryVmMaxAgeSeconds)
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/ChatCompletionHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/ChatCompletionHandler.kt
@@ -55,7 +55,7 @@
         binding {
             val configuration = snapshot()
             val identity = configuration.identify(request).bind()
-            val chat = ChatRequest.parse(request.readBody(maxBodyBytes).bind().decodeToString()).bind()
+            val chat = ChatRequest.parse(request.readBody(maxBodyBytes).bind().utf8()).bind()
             configuration.checkModel(chat.model, identity.requestClass).bind()
             val description =
                 RequestDescription(
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/ServiceCallHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/ServiceCallHandler.kt
@@ -24,7 +24,6 @@
 import org.ragwortlever.core.idempotency.IdempotencyKey
 import org.ragwortlever.core.idempotency.MAXIMUM_RECORDED_BODY_BYTES
 import org.ragwortlever.core.idempotency.RecordedOutcome
-import org.ragwortlever.core.key.sha256Hex
 import java.io.IOException
 import java.io.SequenceInputStream
 import java.util.Base64
@@ -146,7 +145,7 @@
 private fun PlainService?.orRefusal(detail: String): Result<PlainService, Refusal> =
     this?.let { Ok(it) } ?: Err(Refusal(ErrorKind.NOT_FOUND, detail))
 
-private fun OutgoingCall.digest(): String = sha256Hex("$method $pathAndQuery\n".toByteArray() + body)
+private fun OutgoingCall.digest(): String = digestOf("$method $pathAndQuery\n", body)
 
 private fun RecordedOutcome.toResponse(): Result<Response, Refusal> {
     val content = body ?: return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, bodyNotKept(status), Executed.UNKNOWN))
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/ServiceForwarder.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/ServiceForwarder.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapError
 import io.github.oshai.kotlinlogging.KotlinLogging
+import okio.ByteString
 import org.http4k.core.Headers
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
@@ -23,6 +24,7 @@
 import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.http.NotSentException
+import org.ragwortlever.http.ReceivedBody
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -37,7 +39,7 @@
     val method: Method,
     val pathAndQuery: String,
     val headers: Headers,
-    val body: ByteArray,
+    val body: ByteString,
     val isRepeatable: Boolean,
 )
 
@@ -73,7 +75,7 @@
             Request(call.method, Uri.of(server.address.trimEnd('/') + "/" + call.pathAndQuery))
                 .headers(call.headers)
                 .header("X-Request-Id", call.requestId)
-                .body(call.body.inputStream(), call.body.size.toLong())
+                .body(ReceivedBody(call.body))
         return try {
             Ok(upstream(outgoing))
         } catch (failure: NotSentException) {
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -2,7 +2,6 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.Gauge
-import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.http4k.core.Request
@@ -26,6 +25,8 @@
 import org.ragwortlever.core.fleet.selectEntryVms
 import org.ragwortlever.core.fleet.total
 import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.rollout.EvidenceReply
+import org.ragwortlever.core.rollout.EvidenceReport
 import org.ragwortlever.core.route.RouteTable
 import org.ragwortlever.core.settings.FleetSettings
 import org.ragwortlever.core.usage.UsageKeys
@@ -34,7 +35,6 @@
 import org.ragwortlever.daemon.control.MonotonicClock
 import org.ragwortlever.daemon.control.SuspendAwareClock
 import org.ragwortlever.daemon.gateway.DispatchGateway
-import org.ragwortlever.daemon.gateway.RequestObserver
 import org.ragwortlever.daemon.gateway.ResponseMemory
 import org.ragwortlever.daemon.gateway.RoutedHeaderNames
 import org.ragwortlever.daemon.gateway.RoutedRequestHandler
@@ -48,7 +48,6 @@
 import org.ragwortlever.daemon.role.FleetState
 import org.ragwortlever.http.HttpListener
 import org.ragwortlever.http.UndertowListeners
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -118,6 +117,14 @@
     private val serverClient = ServerClient(ports.headers)
     private val follower = FleetFollower(feed, ports.decoder, FleetUpdateListener(), clock::now, changeLog)
 
+    private val sendableServers = SendableServers()
+    private val rolloutTraffic =
+        RolloutTraffic {
+            sendableServers.versionShares = it.shares
+            gateway.post(it)
+        }
+    private val rolloutReporter =
+        RolloutReporter(record, peers, { nodes[it] }, dispatcher::versionEvidence, ::receiveEvidence, rolloutTraffic::applyDecision)
     private val activeRoutes = ActiveRouteTable(clock.now(), clock::now)
 
     @Volatile
@@ -164,19 +171,27 @@
             servers = serverClient,
             headerNames = ports.headers,
             table = activeRoutes::await,
+            knownTable = { activeRoutes.table },
             stopsAt = { stopDeadline },
-            observer = MetricsObserver(),
+            observer = MetricsObserver(metrics) { account -> duties?.usage?.record(account, promptTokens = 0, generatedTokens = 0) },
             memory = ResponseMemory(),
+            isSendable = sendableServers::contains,
             now = clock::now,
         )
-    private val httpServer = UndertowListeners(listeners(), settings.http.limits())
+    private val rejections = RejectionMetrics(metrics)
+    private val intakeLimits = ConfiguredIntake(settings) { activeRoutes.table?.document?.limits }
+    private val httpServer = UndertowListeners(listeners(), settings.http.limits(), intakeLimits::current, rejections)
 
     /** Starts reading the store and serving requests. Does not block. */
     fun start() {
         Gauge.builder("ragwortlever.requests.open") { inFlight.count }.register(metrics)
         Gauge.builder("ragwortlever.configuration.version") { activeRoutes.table?.document?.version ?: 0 }.register(metrics)
+        Gauge.builder("ragwortlever.clients.connections") { httpServer.openConnections }.register(metrics)
+        Gauge.builder("ragwortlever.clients.bytes") { httpServer.reservedBytes }.register(metrics)
         follower.start()
         httpServer.start()
+        controlLoop.every(REJECTION_LOG_INTERVAL, rejections::log)
+        controlLoop.every(VERSION_REPORT_INTERVAL) { rolloutReporter.report(rolloutTraffic.open) }
         controlLoop.every(LOAD_INTERVAL) { load = dispatcher.load(clock.now()) }
         logger.info { eventLine("started", "node" to settings.nodeId, "zone" to settings.zone, "callers" to settings.callers) }
     }
@@ -222,18 +237,28 @@
         serverClient.close()
         poolDeciderClient.close()
         quarantineAnnouncer.close()
+        rolloutReporter.close()
         serverCheck.close()
         controlLoop.close()
     }
 
     private fun fleetState(): FleetState {
         val loads = otherVms().map { it.load } + relay.aggregateLoad(load)
-        return FleetState(activeRoutes.table?.document, announcedServers, loads.total())
+        return FleetState(
+            activeRoutes.table?.document,
+            announcedServers,
+            loads.total(),
+            nodes.keys + settings.nodeId,
+            rolloutTraffic.orders,
+            rolloutTraffic.records,
+        )
     }
 
     /** Load for the registration in the store; empty while a relay is used, because the VM then reports its load to the relay. */
     private fun loadToRegister(): Map<String, ServiceLoad> = if (feed.isRelayed) emptyMap() else relay.aggregateLoad(load)
 
+    private fun receiveEvidence(report: EvidenceReport): EvidenceReply? = duties?.rollouts?.receive(report)
+
     private fun reportCrash(crash: DispatchEffect.ReportCrash) {
         logger.warn { eventLine("server-crashed", "server" to crash.server, "zone" to crash.zone, "requests" to crash.digests.size) }
         crashReporter.report(CrashRecord(crash.server, crash.zone, crash.digests))
@@ -255,9 +280,16 @@
 
     private fun listeners(): List<HttpListener> {
         val (host, port) = settings.callers.split(':')
-        val callers = HttpListener(host, port.toInt(), inFlight.countRequests(requestHandler::handle))
-        val metricsListener = HttpListener(settings.address, settings.metricsPort, ::serveMetrics, isNonBlocking = true)
-        val peerListener = HttpListener(settings.address, settings.peerPort, peerHandler(peerEndpoints()))
+        val callers =
+            HttpListener(
+                host,
+                port.toInt(),
+                inFlight.countRequests(requestHandler::handle),
+                maxBodyBytes = requestHandler::maxBodyBytes,
+                reject = requestHandler::reject,
+            )
+        val metricsListener = HttpListener(settings.address, settings.metricsPort, ::serveMetrics, isNonBlocking = true, isInternal = true)
+        val peerListener = HttpListener(settings.address, settings.peerPort, peerHandler(peerEndpoints()), isInternal = true)
         val optional = listOf(metricsListener.takeIf { settings.metricsPort > 0 }, peerListener.takeIf { settings.peerPort > 0 })
         return listOf(callers) + ports.listeners(settings, status) + optional.filterNotNull()
     }
@@ -267,6 +299,7 @@
             peerEndpoint(Relay.ROUTE, relay::handle),
             peerEndpoint(UsageForwarder.ROUTE, usageForwarder::writeForwarded),
             peerEndpoint(PoolDeciderClient.QUESTION_ROUTE, gateway::answer),
+            peerEndpoint(RolloutReporter.ROUTE, ::receiveEvidence),
             peerEndpoint(QuarantineAnnouncer.ROUTE) { part ->
                 gateway.post(DispatchEvent.QuarantineReceived(listOf(part)))
                 QuarantineAcknowledgement
@@ -292,12 +325,15 @@
             // Before the servers, so that no request is sent to a server in a zone that is taken out.
             if (FleetChange.ZONES in changes) {
                 logger.info { eventLine("zones-taken-out", "zones" to view.zonesTakenOut) }
+                sendableServers.zonesTakenOut = view.zonesTakenOut
                 gateway.post(DispatchEvent.TakenOutZonesChanged(view.zonesTakenOut))
             }
             if (FleetChange.SERVERS in changes) {
                 announcedServers = view.servers.all.map { it.server }
+                sendableServers.replace(view.servers.usable)
                 gateway.post(DispatchEvent.ServersChanged(view.servers.usable))
             }
+            if (FleetChange.ROLLOUTS in changes) rolloutTraffic.replace(view)
             if (FleetChange.CONFIGURATION in changes) applyConfiguration(view)
         }
 
@@ -336,28 +372,6 @@
         }
     }
 
-    private inner class MetricsObserver : RequestObserver {
-        override fun onStarted(account: String?) {
-            account?.let { duties?.usage?.record(it, promptTokens = 0, generatedTokens = 0) }
-        }
-
-        override fun onResponse(
-            route: String,
-            status: Int,
-            timeToFirstByte: Duration,
-            duration: Duration,
-        ) {
-            timer("ragwortlever.request.first", route, status).record(timeToFirstByte.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-            timer("ragwortlever.request", route, status).record(duration.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-        }
-
-        private fun timer(
-            name: String,
-            route: String,
-            status: Int,
-        ): Timer = Timer.builder(name).tag("route", route).tag("status", status.toString()).register(metrics)
-    }
-
     private companion object {
         val logger = KotlinLogging.logger {}
 
@@ -368,6 +382,10 @@
         val ADDRESS_CACHE_TIME = 3.seconds
         val POLL_INTERVAL = 50.milliseconds
         val LOAD_INTERVAL = 1.seconds
+
+        // A bad version has to be found within seconds, over the reports of all VMs.
+        val VERSION_REPORT_INTERVAL = 400.milliseconds
+        val REJECTION_LOG_INTERVAL = 1.seconds
     }
 }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -29,12 +29,16 @@
 import org.ragwortlever.core.error.Executed
 import org.ragwortlever.core.error.Refusal
 import org.ragwortlever.core.error.answer
+import org.ragwortlever.core.intake.RequestRejection
+import org.ragwortlever.core.route.CallerLimits
 import org.ragwortlever.core.route.RouteKind
 import org.ragwortlever.core.route.RouteTable
 import org.ragwortlever.daemon.caller.internalRefusal
 import org.ragwortlever.daemon.caller.readBody
+import org.ragwortlever.daemon.caller.toRefusal
 import org.ragwortlever.daemon.caller.toResponse
 import org.ragwortlever.http.CallerWatch
+import org.ragwortlever.http.SendCondition
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
@@ -44,8 +48,10 @@
 /**
  * Handles the requests on the routes of [table].
  *
- * @param table current routes; null until a configuration has been read.
+ * @param table current routes; may wait for the first configuration and is null if none has been read.
+ * @param knownTable current routes, without a wait.
  * @param memory what the responses of all requests may hold together.
+ * @param isSendable whether a server may still get requests by what this VM has read last.
  * @param stopsAt when this VM cuts the requests that still run; null unless a shutdown was requested.
  */
 internal class RoutedRequestHandler(
@@ -53,27 +59,39 @@
     private val servers: ServerClient,
     private val headerNames: RoutedHeaderNames,
     private val table: () -> RouteTable?,
+    private val knownTable: () -> RouteTable?,
     private val stopsAt: () -> Instant?,
     private val observer: RequestObserver,
     private val memory: ResponseMemory,
+    isSendable: (BackendServer) -> Boolean = { true },
     private val now: () -> Instant,
 ) {
     private val nextKey = AtomicLong()
     private val parser = RoutedRequestParser(headerNames)
-    private val unavailableServers = UnavailableServers()
+    private val unavailableServers = UnavailableServers(isSendable)
     private val namedLimits = NamedLimits()
 
     /** Returns the response of a backend server or a refusal. Blocks until the head of the response is known. */
     fun handle(request: Request): Response {
-        val arrival = now()
+        val watch = CallerWatch.current
+        // The caller's time runs from its first byte on, also while the request waits for a thread.
+        val arrival = now() - (watch?.requestAge ?: Duration.ZERO)
         val id = request.header(headerNames.requestId).orEmpty()
         val prepared = prepare(request, arrival).getOrElse { return respondWithRefusal(id, it, "", arrival) }
-        val watch = CallerWatch.current
         val exchange = RoutedExchange(prepared, arrival) { watch?.isDisconnected() == true }
         watch?.onDisconnect(exchange::onCallerGone)
         return exchange.answer()
     }
 
+    /** Returns the refusal of a request that the server has rejected while it was received. Does not block. */
+    fun reject(
+        request: Request,
+        rejection: RequestRejection,
+    ): Response = respondWithRefusal(request.header(headerNames.requestId).orEmpty(), rejection.toRefusal(maxBodyBytes), "", now())
+
+    /** Maximum size of a request's body, in bytes, by the configuration in use. */
+    val maxBodyBytes: Long get() = (knownTable()?.document?.limits ?: CallerLimits()).bodyBytes
+
     private fun prepare(
         request: Request,
         arrival: Instant,
@@ -272,7 +290,8 @@
             val timeout = minOf(timeLeft, send.firstByteTimeout ?: timeLeft)
             log.routed(request, send, lastEventId, waited = now() - arrival, timeLeft)
             val headers = AttemptHeaders(request.account, request.tier.takeIf { request.parts.isNotEmpty() }, lastEventId)
-            val prepared = servers.prepare(prepared.outgoing, send.server, headers, timeLeft, timeout)
+            val condition = SendCondition { unavailableServers.maySend(send.server.server, request.deadline, now()) }
+            val prepared = servers.prepare(prepared.outgoing, send.server, headers, timeLeft, timeout, condition)
             call = prepared
             if (!isCallerGone && isCallerConnectionClosed()) onCallerGone()
             if (isCallerGone) prepared.cancel()
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestParser.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestParser.kt
@@ -4,15 +4,16 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import okio.ByteString
 import org.http4k.core.Request
 import org.ragwortlever.core.dispatch.PromptPart
 import org.ragwortlever.core.dispatch.RoutedRequest
 import org.ragwortlever.core.error.ErrorKind
 import org.ragwortlever.core.error.Refusal
-import org.ragwortlever.core.key.sha256Hex
 import org.ragwortlever.core.route.AccountDefinition
 import org.ragwortlever.core.route.Route
 import org.ragwortlever.core.route.RouteTable
+import org.ragwortlever.daemon.caller.digestOf
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -28,7 +29,7 @@
     /** Finds route and account of [request] and checks its headers; the refusal names the header or path at fault. */
     fun prepare(
         request: Request,
-        body: ByteArray,
+        body: ByteString,
         table: RouteTable,
         key: Long,
         arrival: Instant,
@@ -62,7 +63,7 @@
                 tier = table.tierOf(route, account),
                 parts = parseParts(request.header(headerNames.promptParts)),
                 outputTokens = request.header(headerNames.tokenCount)?.substringAfter(',', "")?.trim()?.toIntOrNull() ?: 0,
-                digest = sha256Hex("${request.method} $pathAndQuery ${account?.name}\n".toByteArray() + body),
+                digest = digestOf("${request.method} $pathAndQuery ${account?.name}\n", body),
                 deadline = arrival + wait,
             )
         return Ok(PreparedRequest(routed, OutgoingRequest(id, request.method.name, pathAndQuery, request.headers, body)))
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -13,6 +13,7 @@
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
+import okio.ByteString
 import org.http4k.core.Headers
 import org.ragwortlever.core.answer.AnswerEnd
 import org.ragwortlever.core.backend.KnownServer
@@ -27,6 +28,9 @@
 import org.ragwortlever.http.MalformedResponseException
 import org.ragwortlever.http.NotSentException
 import org.ragwortlever.http.RepeatedSendCheck
+import org.ragwortlever.http.SendCondition
+import org.ragwortlever.http.SendConditionCheck
+import org.ragwortlever.http.SendConditionException
 import org.ragwortlever.http.StaleConnectionCheck
 import org.ragwortlever.http.UsedConnections
 import org.ragwortlever.http.plainHttpClient
@@ -45,7 +49,7 @@
     val method: String,
     val pathAndQuery: String,
     val headers: Headers,
-    val body: ByteArray?,
+    val body: ByteString,
 ) {
     /** The connections that the attempts so far were sent on. */
     val usedConnections = UsedConnections()
@@ -96,17 +100,23 @@
             .dispatcher(Dispatcher().apply { maxRequestsPerHost = maxRequests })
             .addNetworkInterceptor(StaleConnectionCheck)
             .addNetworkInterceptor(RepeatedSendCheck)
+            .addNetworkInterceptor(SendConditionCheck)
             .addNetworkInterceptor(::removeImmediateRetryAfter)
             .trackSends()
             .build()
 
-    /** Builds the exchange of [request] with [server], to be started by [start]. */
+    /**
+     * Builds the exchange of [request] with [server], to be started by [start].
+     *
+     * @param condition checked before the first byte is sent; null for none.
+     */
     fun prepare(
         request: OutgoingRequest,
         server: KnownServer,
         attempt: AttemptHeaders,
         timeLeft: Duration,
         timeout: Duration,
+        condition: SendCondition? = null,
     ): ServerCall {
         val builder = Request.Builder().url("http://${server.server.address}${request.pathAndQuery}")
         headerNames.filterRequestHeaders(request.headers).forEach { (name, value) ->
@@ -122,6 +132,7 @@
         attempt.priority?.let { builder.header(headerNames.priority, it.toString()) }
         attempt.lastEventId?.let { builder.header(headerNames.lastEventId, it) }
         request.usedConnections.attachTo(builder)
+        condition?.attachTo(builder)
         return ServerCall(client, builder.method(request.method, request.okHttpBody()).build(), timeout)
     }
 
@@ -134,7 +145,8 @@
             try {
                 attempt.execute()
             } catch (failure: NotSentException) {
-                return AttemptStart.Ended(AttemptEnd.NotRun(ServerFailure.UNREACHABLE), null, failure.message.orEmpty())
+                val kind = if (failure.cause is SendConditionException) ServerFailure.EXPIRED else ServerFailure.UNREACHABLE
+                return AttemptStart.Ended(AttemptEnd.NotRun(kind), null, failure.message.orEmpty())
             } catch (failure: IOException) {
                 return AttemptStart.Ended(AttemptEnd.Failed(failure.toServerFailure()), failure.toAnswerEnd(), failure.toString())
             }
@@ -228,7 +240,7 @@
     }
 }
 
-private fun OutgoingRequest.okHttpBody() = if (method == "GET" || method == "HEAD") null else (body ?: ByteArray(0)).toRequestBody()
+private fun OutgoingRequest.okHttpBody() = if (method == "GET" || method == "HEAD") null else body.toRequestBody()
 
 /** Maps a timeout to [ServerFailure.SILENT] and any other I/O error to [ServerFailure.BROKEN]. */
 internal fun IOException.toServerFailure() = if (this is InterruptedIOException) ServerFailure.SILENT else ServerFailure.BROKEN
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/UnavailableServers.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/UnavailableServers.kt
@@ -9,8 +9,14 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Instant
 
-/** Remembers server processes that refuse new requests, until their announced time is over. Thread-safe. */
-internal class UnavailableServers {
+/**
+ * Remembers server processes that refuse new requests, until their announced time is over. Thread-safe.
+ *
+ * @param isSendable whether a server may still get requests by what this VM has read last.
+ */
+internal class UnavailableServers(
+    private val isSendable: (BackendServer) -> Boolean = { true },
+) {
     private data class Process(
         val server: String,
         val incarnation: Long,
@@ -29,6 +35,13 @@
         if (unavailableUntil.size > CLEANUP_THRESHOLD) unavailableUntil.values.removeIf { it <= now }
     }
 
+    /** Whether a request that ends at [deadline] may be sent to [server] at [now], which can be long after the decision. */
+    fun maySend(
+        server: BackendServer,
+        deadline: Instant,
+        now: Instant,
+    ): Boolean = now < deadline && !isUnavailable(server, now) && isSendable(server)
+
     /** Whether the process of [server] accepts no new requests at [now]. */
     fun isUnavailable(
         server: BackendServer,
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -4,7 +4,9 @@
 import okhttp3.OkHttpClient
 import org.ragwortlever.core.lease.LeaseClaim
 import org.ragwortlever.core.lease.LeaseTimes
+import org.ragwortlever.core.rollout.RolloutRecord
 import org.ragwortlever.core.settings.BoundSettings
+import org.ragwortlever.core.store.Write
 import org.ragwortlever.core.usage.UsageFlush
 import org.ragwortlever.core.usage.UsageKeys
 import org.ragwortlever.core.usage.UsageWindow
@@ -25,6 +27,9 @@
         windowSeconds: Double,
     ): UsageReportSender
 
+    /** The store entry that tells the operators how the roll-out of [record] stands. */
+    fun rolloutStatus(record: RolloutRecord): Write.Put
+
     /** Creates the sender of capacity orders; every order is sent with [sender]. */
     fun createOrderSender(sender: BoundedSender): CapacityOrderSender
 }
@@ -51,7 +56,10 @@
     private val source = "$node@${clock.now().toEpochMilliseconds()}"
     private val lease = LeaseManager(LeaseClaim(UsageKeys.LEASE, source, times), store, leaseClock::now) { true }
     private val sender = BoundedSender(ports.client, times.sendTimeout, lease::isSafeToSend)
-    private val scaling = ScalingRole(lease, leaseClock::now, fleet, ports.createOrderSender(sender))
+    private val scaling = ScalingRole(lease, leaseClock::now, fleet, ports.createOrderSender(sender), clock::now)
+
+    /** Decides on the roll-outs that the operators have ordered. */
+    val rollouts = RolloutRole(node, RolloutStore(store, lease, ports::rolloutStatus), lease, leaseClock::now, clock::now, fleet)
     val usage =
         UsageRole(
             store = store,
@@ -72,12 +80,14 @@
         lease.start()
         usage.start()
         scaling.start()
+        rollouts.start()
     }
 
     /** Handles the deletion of the lease key in the store, which frees the lease. */
     fun handleLeaseKeyDeleted() = lease.handleKeyDeleted()
 
     override fun close() {
+        rollouts.close()
         scaling.close()
         usage.close()
         lease.close()
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
@@ -5,6 +5,8 @@
 import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.fleet.ServiceLoad
 import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.rollout.RolloutOrder
+import org.ragwortlever.core.rollout.RolloutRecord
 import org.ragwortlever.core.route.RoutingDocument
 import org.ragwortlever.core.route.ScalingRange
 import org.ragwortlever.core.scaling.RunningServers
@@ -37,11 +39,17 @@
  *
  * @property servers known backend servers of all services.
  * @property load load by service name.
+ * @property nodes names of the entry VMs.
+ * @property rolloutOrders roll-outs that the operators have ordered, by service.
+ * @property rollouts decisions on roll-outs, by service.
  */
 data class FleetState(
     val document: RoutingDocument?,
     val servers: List<BackendServer>,
     val load: Map<String, ServiceLoad>,
+    val nodes: Set<String> = emptySet(),
+    val rolloutOrders: Map<String, RolloutOrder> = emptyMap(),
+    val rollouts: Map<String, RolloutRecord> = emptyMap(),
 )
 
 /** Each step computes the desired number of servers of every scaled service from its load, and orders them. */
@@ -50,6 +58,7 @@
     private val now: () -> Instant,
     private val fleet: () -> FleetState,
     private val orderSender: CapacityOrderSender,
+    private val wallClock: () -> Instant = now,
 ) : AutoCloseable {
     private val thread = RoleThread("scaling", STEP_PAUSE, ::step)
     private val policies = HashMap<String, ScalingPolicy>()
@@ -71,10 +80,27 @@
         state.document
             ?.services
             ?.values
+            ?.filterNot { isUnderRollout(it.name, state) }
             ?.forEach { service -> service.scaling?.let { scale(service.name, it, state) } }
         return false
     }
 
+    /**
+     * Whether the servers of [service] are being replaced by those of another version. The platform starts and stops them
+     * then, and an order computed from the servers of both versions would stop some that are needed.
+     */
+    private fun isUnderRollout(
+        service: String,
+        state: FleetState,
+    ): Boolean {
+        val order = state.rolloutOrders[service]
+        val record = state.rollouts[service]
+        if (order != null && record?.order != order.revision) return true
+        if (record == null) return false
+        val stageAge = wallClock() - Instant.fromEpochMilliseconds(record.stageSinceMilliseconds)
+        return record.isOpen || stageAge < ROLLOUT_SETTLES
+    }
+
     private fun scale(
         service: String,
         range: ScalingRange,
@@ -149,6 +175,9 @@
         val logger = KotlinLogging.logger {}
         val STEP_PAUSE = 300.milliseconds
 
+        // The servers of the version that is given up drain for some seconds after the end of a roll-out.
+        val ROLLOUT_SETTLES = 8.seconds
+
         // An order stays in force until the next one; it is repeated in case not all of its servers were available.
         val REPEAT_INTERVAL = 15.seconds
         const val STATUS_OK = 200
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
@@ -103,7 +103,7 @@
             ) = Unit
         }
     private val handler =
-        RoutedRequestHandler(gateway, serverClient, headerNames, { RouteTable(document) }, { stopsAt }, observer, memory) {
+        RoutedRequestHandler(gateway, serverClient, headerNames, { RouteTable(document) }, { RouteTable(document) }, { stopsAt }, observer, memory) {
             Clock.System.now() +
                 threadDelay
         }
