Weigh what a cached prefix saves against the wait for its server

Cause: a part was believed to be cached for 30 s whatever had been sent since, and a request waited 0.1 s for the server that holds its prefix, whatever that saved.

Change: CachedParts evicts in order of last use by the engine's memory beside running answers. Reading again is charged for the requests that it delays, and a request waits as long as the better server saves, for at most half of the time to its target. bench/pool keeps the last part of a prompt too, as the users' engines do, and has a memory-bound scenario.

--- a/bench/src/main/kotlin/org/ragwortlever/bench/pool/PoolEngine.kt
+++ b/bench/src/main/kotlin/org/ragwortlever/bench/pool/PoolEngine.kt
@@ -18,8 +18,11 @@
     var isRunning = false
     val tier: Int get() = request.kind.route.tier
 
-    /** Memory that the job takes for itself, all of its answer included; shared parts are held once for all. */
-    val tokens: Int get() = request.kind.tail + request.kind.answerTokens
+    /** Whether the parts of the prompt are cached, where they yield only when no running job uses them. */
+    var isCached = false
+
+    /** Memory that the job takes for itself, all of its answer included. */
+    val tokens: Int get() = (if (isCached) 0 else request.kind.tail) + request.kind.answerTokens
 }
 
 internal interface EngineListener {
@@ -36,6 +39,7 @@
     val zone: String,
     private val queue: EventQueue,
     private val listener: EngineListener,
+    private val memoryTokens: Int = PoolLoad.ENGINE_TOKENS,
 ) {
     private val cached = LinkedHashMap<String, Int>(16, 0.75f, true)
     private var cachedTokens = 0
@@ -113,7 +117,7 @@
         waiting.sortWith(compareBy<EngineJob> { it.tier }.thenBy { it.request.number })
         while (waiting.isNotEmpty() && running.size < PoolLoad.ENGINE_SLOTS) {
             val next = waiting.first()
-            if (held() + next.tokens > PoolLoad.ENGINE_TOKENS && !preemptFor(next)) return
+            if (held() + inUseTokens() + next.tokens > memoryTokens && !preemptFor(next)) return
             waiting.removeAt(0)
             begin(next)
         }
@@ -122,14 +126,19 @@
     /** Takes the memory of the newest of the least urgent requests; false when none is less urgent than [job]. */
     private fun preemptFor(job: EngineJob): Boolean {
         val victim =
-            running.filter { it.tier > job.tier }.maxByOrNull { it.tier * PoolLoad.ENGINE_TOKENS + it.request.number } ?: return false
+            running.filter { it.tier > job.tier }.maxByOrNull { it.tier * memoryTokens + it.request.number } ?: return false
         running.remove(victim)
         waiting += victim
-        return held() + job.tokens <= PoolLoad.ENGINE_TOKENS
+        victim.isCached = false
+        return held() + inUseTokens() + job.tokens <= memoryTokens
     }
 
     private fun held() = running.sumOf { it.tokens }
 
+    private fun partsInUse() = running.filter { it.isCached }.flatMapTo(HashSet()) { job -> job.request.parts.map { it.id } }
+
+    private fun inUseTokens() = partsInUse().sumOf { cached[it] ?: 0 }
+
     private fun begin(job: EngineJob) {
         val parts = job.request.parts
         val known = parts.takeWhile { cached[it.id] != null }
@@ -151,10 +160,14 @@
     }
 
     private fun keep(job: EngineJob) {
-        job.request.parts.dropLast(1).forEach { part -> if (cached.put(part.id, part.tokens) == null) cachedTokens += part.tokens }
+        job.request.parts.forEach { part -> if (cached.put(part.id, part.tokens) == null) cachedTokens += part.tokens }
+        job.isCached = true
+        val inUse = partsInUse()
         val oldest = cached.entries.iterator()
-        while (cachedTokens + held() > PoolLoad.ENGINE_TOKENS && oldest.hasNext()) {
-            cachedTokens -= oldest.next().value
+        while (cachedTokens + held() > memoryTokens && oldest.hasNext()) {
+            val part = oldest.next()
+            if (part.key in inUse) continue
+            cachedTokens -= part.value
             oldest.remove()
         }
     }
--- a/bench/src/main/kotlin/org/ragwortlever/bench/pool/PoolLoad.kt
+++ b/bench/src/main/kotlin/org/ragwortlever/bench/pool/PoolLoad.kt
@@ -134,6 +134,7 @@
  * @property lostShare part of the engines that crash and come back empty at the end.
  * @property slowShare part of the engines that work at half speed.
  * @property silentDecider whether the VM that decides answers no question of the others.
+ * @property engineTokens memory of each engine, in tokens.
  * @property limitedShare part of the engines that name a limit of a third of the requests that they can serve.
  */
 internal data class PoolScenario(
@@ -146,6 +147,7 @@
     val slowShare: Double = 0.0,
     val silentDecider: Boolean = false,
     val limitedShare: Double = 0.0,
+    val engineTokens: Int = PoolLoad.ENGINE_TOKENS,
 ) {
     companion object {
         val ALL =
@@ -157,6 +159,7 @@
                 PoolScenario("engines-slow", slowShare = 0.25),
                 PoolScenario("decider-silent", silentDecider = true),
                 PoolScenario("limited", limitedShare = 0.25),
+                PoolScenario("memory-bound", engineTokens = PoolLoad.ENGINE_TOKENS / 3),
             )
     }
 }
--- a/bench/src/main/kotlin/org/ragwortlever/bench/pool/PoolRun.kt
+++ b/bench/src/main/kotlin/org/ragwortlever/bench/pool/PoolRun.kt
@@ -18,6 +18,7 @@
 import org.ragwortlever.core.dispatch.Dispatcher
 import org.ragwortlever.core.dispatch.RoutedRequest
 import org.ragwortlever.core.membership.rendezvousOwner
+import org.ragwortlever.core.route.EngineSize
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -78,7 +79,7 @@
 ) : EngineListener {
     private val queue = EventQueue()
     private val random = Random(cell.seed)
-    private val engines = List(cell.engines) { PoolEngine("engine-$it", ZONES[it % ZONES.size], queue, this) }
+    private val engines = List(cell.engines) { PoolEngine("engine-$it", ZONES[it % ZONES.size], queue, this, cell.scenario.engineTokens) }
     private val byId = engines.associateBy { it.id }
     private val names = List(cell.vms) { "vm-$it" }
     private val dispatchers = names.mapIndexed { index, name -> Dispatcher(DispatchOptions(name, ZONES[index % ZONES.size])) }
@@ -161,7 +162,7 @@
                 key = request.number,
                 id = "request-${request.number}",
                 route = kind.route,
-                services = listOf(PoolLoad.definition),
+                services = listOf(PoolLoad.definition.copy(engine = EngineSize(PoolLoad.ENGINE_SLOTS, cell.scenario.engineTokens))),
                 account = "account",
                 tier = kind.route.tier,
                 parts = request.parts,
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Admission.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Admission.kt
@@ -50,7 +50,7 @@
         val best = ranked.firstOrNull() ?: return waitForAllowance(question, unassigned.size, now)
         val available = ranked.firstOrNull {
             it.server.id !in reserved && it.canStart(question.tier, now) &&
-                isWorthSending(it, best, waiting, now)
+                isWorthSending(it, best, waited = now - waiting.arrivedAt, timeToTarget = question.targetMilliseconds.milliseconds)
         }
         return when {
             question.hasBegun -> admit(question, best, now)
@@ -127,17 +127,6 @@
         return decision
     }
 
-    /**
-     * Any server but the best one would have to prefill prompt parts that the best one has cached, so the request first
-     * waits for the best one.
-     */
-    private fun isWorthSending(
-        score: ServerScore,
-        best: ServerScore,
-        waiting: WaitingRequest,
-        now: Instant,
-    ): Boolean = score === best || score.uncachedTokens <= best.uncachedTokens || now - waiting.arrivedAt >= MAX_WAIT_FOR_CACHED_PARTS
-
     /**
      * Estimates the time that the servers need for the requests [ahead] of this one, from the rate of recently admitted
      * tokens.
@@ -185,16 +174,11 @@
         return unread == 0 || estimatePrefillTime(unread + tokens) <= MAX_PREFILL_BACKLOG
     }
 
-    private fun estimatePrefillTime(tokens: Int): Duration = (tokens / PREFILL_TOKENS_PER_SECOND).seconds
-
     private companion object {
         // The prefill time of a long prompt: the next prompt arrives before the server runs out of work, and the
         // answers that it generates meanwhile still get their tokens.
         val MAX_PREFILL_BACKLOG = 250.milliseconds
 
-        // Prefilling the shared parts of a long prompt again takes longer than this.
-        val MAX_WAIT_FOR_CACHED_PARTS = 100.milliseconds
-
         // Time of one decode step of an engine with few running requests.
         val DECODE_TIME_PER_TOKEN = 4.milliseconds
 
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/DispatchMessages.kt
@@ -55,6 +55,10 @@
 
     /** Ids of the parts that may be found to crash servers. */
     val partIds: List<String> get() = parts.trackedIds()
+
+    /** Memory of the model engine of [server], in tokens; null when unknown. */
+    internal fun engineTokensAt(server: ServerState): Int? =
+        services.firstOrNull { it.name == server.known.server.service }?.engine?.cacheTokens
 }
 
 /**
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/Dispatcher.kt
@@ -349,7 +349,7 @@
         val attempt = RunningAttempt(request, server, now, uncachedTokens, ++openRequest.sendCount)
         openRequest.running = attempt
         server.running[request.key] = attempt
-        server.recordSent(request.parts, now)
+        server.recordSent(request.parts, request.engineTokensAt(server), now)
         pool.recordSent(server, now)
         prefillRates.getOrPut(server.known.server.service) {
             DecayedRate(LOAD_HALF_LIFE)
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolDecider.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolDecider.kt
@@ -114,7 +114,7 @@
         now: Instant,
     ): PoolAnswer {
         val server = score.server.known.server
-        score.server.recordSent(question.parts, now)
+        score.server.recordSent(question.parts, question.engineTokens.takeIf { it > 0 }, now)
         pool.limits.take(server)
         return PoolAnswer.Advised(score.toAdvice(pool.limits.limitOf(server)))
     }
@@ -132,7 +132,7 @@
     ) {
         val work = workBySource.getValue(source)
         val held = question.promptTokens + question.outputTokens
-        val attempt = ReportedAttempt(advice.server, advice.uncachedTokens, held, question.tier)
+        val attempt = ReportedAttempt(advice.server, advice.uncachedTokens, held, question.tier, question.outputTokens)
         replace(source, NodeWork(work.sequence, work.at, work.attempts, work.advised + (question.number to Advised(advice, attempt))))
     }
 
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolMessages.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolMessages.kt
@@ -13,6 +13,7 @@
  * @property unreadTokens prompt tokens that the server has probably not prefilled yet.
  * @property heldTokens prompt and answer tokens that take memory on the server.
  * @property tier urgency of the request; 0 is the highest.
+ * @property answerTokens the part of [heldTokens] that is kept for the answer.
  */
 @Serializable
 data class ReportedAttempt(
@@ -20,6 +21,7 @@
     val unreadTokens: Int,
     val heldTokens: Int,
     val tier: Int = 0,
+    val answerTokens: Int = 0,
 )
 
 /**
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolReporter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/PoolReporter.kt
@@ -73,7 +73,7 @@
         lastReports[service] = now
         // Higher than all sequence numbers of earlier runs of this VM.
         sequence = maxOf(sequence + 1, now.toEpochMilliseconds())
-        val open = attempts.map { ReportedAttempt(it.server.id, it.unreadTokens, it.heldTokens, it.request.tier) }
+        val open = attempts.map { ReportedAttempt(it.server.id, it.unreadTokens, it.heldTokens, it.request.tier, it.request.outputTokens) }
         val ends = changes?.ends.orEmpty().toList()
         return PoolReport(
             node,
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerScore.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerScore.kt
@@ -127,8 +127,9 @@
 // Prefilling again what another server has cached delays this request and takes capacity from all others.
 private const val PREFILL_WEIGHT = 2.0
 
-// With the load of all VMs known, a request leaves the server that has cached its prefix only for a much shorter queue.
-private const val SHARED_PREFILL_WEIGHT = 4.0
+// With the load of all VMs known, reading again what another server has cached is charged for the requests that it delays:
+// at seven eighths of its capacity, an engine gets seven of them before it has caught up (the busy period of a queue).
+private const val SHARED_PREFILL_WEIGHT = 7.0
 
 // Each request that waits at the server is delayed; most of them would still meet their target.
 private const val DELAY_WEIGHT = 2.0
--- a/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/dispatch/ServerState.kt
@@ -4,6 +4,7 @@
 import org.ragwortlever.core.backend.KnownServer
 import org.ragwortlever.core.backend.ServerFailure
 import org.ragwortlever.core.backend.ServerHealth
+import org.ragwortlever.core.engine.CachedParts
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -40,6 +41,7 @@
     val waiting = unread.size
     val unreadTokens = unread.sumOf { it.unreadTokens }
     val heldTokens = attempts.sumOf { it.heldTokens }
+    val answerTokens = attempts.sumOf { it.answerTokens }
 
     fun unreadTokens(
         tier: Int,
@@ -61,7 +63,7 @@
 
     /** Loads reported by other entry VMs, by name; empty unless this VM is the decider. */
     val remoteLoads = HashMap<String, RemoteLoad>()
-    private val partsSentAt = LinkedHashMap<String, Instant>()
+    private val cachedParts = CachedParts()
 
     private var lastResponseAt = Instant.DISTANT_PAST
     private val brokenAttempts = ArrayList<BrokenAttempt>()
@@ -85,6 +87,9 @@
     /** Memory that the known requests on the server need, in tokens. */
     val heldTokens: Int get() = running.values.sumOf { it.heldTokens } + remoteLoads.values.sumOf { it.heldTokens }
 
+    /** The part of [heldTokens] that is kept for answers; parts of prompts are shared and cached. */
+    private val answerTokens: Int get() = running.values.sumOf { it.request.outputTokens } + remoteLoads.values.sumOf { it.answerTokens }
+
     /** Number of known requests whose prompts the server has probably not prefilled yet. */
     val waitingRequests: Int get() = running.values.count { it.firstByteAt == null } + remoteLoads.values.sumOf { it.waiting }
 
@@ -142,7 +147,7 @@
     fun isCold(now: Instant): Boolean = now < known.coldUntil
 
     /**
-     * Tokens of [parts] that the server has to prefill: all from the first part on that was not sent to it recently.
+     * Tokens of [parts] that the server has to prefill: all from the first part on that it has probably not cached.
      */
     fun uncachedTokens(
         parts: List<PromptPart>,
@@ -152,22 +157,24 @@
         return parts.drop(cached.size).sumOf { it.tokens }
     }
 
-    /** Whether the part [id] was sent to the server recently, so that it is probably cached there. */
+    /** Whether the server has probably cached the part [id]. */
     fun hasCached(
         id: String,
         now: Instant,
-    ): Boolean = partsSentAt[id]?.let { now - it < PART_LIFETIME } ?: false
+    ): Boolean = cachedParts.isCached(id, now)
 
-    /** Records that [parts] are sent to the server. */
+    /**
+     * Records that [parts] are sent to the server.
+     *
+     * @param engineTokens memory of the server's engine, in tokens; null when unknown, so that only the time tells what is kept.
+     */
     fun recordSent(
         parts: List<PromptPart>,
+        engineTokens: Int?,
         now: Instant,
     ) {
-        parts.forEach {
-            partsSentAt.remove(it.id)
-            partsSentAt[it.id] = now
-        }
-        while (partsSentAt.size > MAX_REMEMBERED_PARTS) partsSentAt.remove(partsSentAt.keys.first())
+        parts.forEach { cachedParts.recordUse(it.id, it.tokens, now) }
+        engineTokens?.let { cachedParts.evictDownTo(it - answerTokens) }
     }
 
     private data class BrokenAttempt(
@@ -179,11 +186,7 @@
         // A crashed server refuses connections for some seconds, and its announcement expires within four.
         val CRASH_CONFIRMATION_WINDOW: Duration = 5.seconds
 
-        // Engines evict the least recently used parts; under load an unused part survives a few tens of seconds.
-        val PART_LIFETIME: Duration = 30.seconds
-
         // Overloaded engines still start several requests in this time.
         val RESPONSIVE_WINDOW: Duration = 1.seconds
-        const val MAX_REMEMBERED_PARTS = 1000
     }
 }
