--- a/core/src/main/kotlin/org/ragwortlever/core/intake/ClientConnection.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/intake/ClientConnection.kt
@@ -76,7 +76,8 @@
     fun isStalled(now: Instant): Boolean {
         if (!isReceiving) return false
         val age = now - stageSince
-        return now - lastProgress >= STALL || (age >= SLOW_START && receivedBytes < MIN_BYTES_PER_SECOND * age.toDouble(DurationUnit.SECONDS))
+        val isSlow = receivedBytes < MIN_BYTES_PER_SECOND * age.toDouble(DurationUnit.SECONDS)
+        return now - lastProgress >= STALL || (age >= SLOW_START && isSlow)
     }
 
     /** Why the connection has to be closed now, whatever room there is; null if it has not. */
--- a/core/src/main/kotlin/org/ragwortlever/core/intake/IntakeControl.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/intake/IntakeControl.kt
@@ -175,7 +175,10 @@
     private fun findStalled(
         except: ClientConnection,
         now: Instant,
-    ): ClientConnection? = connections.values.filter { it !== except && it.reservedBytes > 0 && it.isStalled(now) }.minByOrNull { it.idleSince }
+    ): ClientConnection? {
+        val stalled = connections.values.filter { it !== except && it.reservedBytes > 0 && it.isStalled(now) }
+        return stalled.minByOrNull { it.idleSince }
+    }
 
     /** The connection that has had no request for the longest time, or else the one whose request stands still. */
     private fun findIdlest(now: Instant): ClientConnection? {
--- a/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutPolicy.kt
@@ -78,11 +78,18 @@
         val isCompared = verdict is Verdict.Good && progress >= EARLIEST_PROMOTION
         val isDue = progress >= LATEST_PROMOTION
         return when {
-            isDue && verdict is Verdict.Open && verdict.suspicion >= MAX_SUSPICION ->
+            isDue && verdict is Verdict.Open && verdict.suspicion >= MAX_SUSPICION -> {
                 record.enter(RolloutStage.ROLLED_BACK, 0.0, "suspicious at the time of promotion", now)
-            isDue && state.evidence.newAnswers == 0 && state.oldServers > 0 && progress < 1 -> record.withShare(canaryShare)
-            isCompared || isDue -> record.enter(RolloutStage.PROMOTED, 1.0, "answered ${state.evidence.newAnswers} requests", now)
-            else -> record.withShare(canaryShare)
+            }
+            isDue && state.evidence.newAnswers == 0 && state.oldServers > 0 && progress < 1 -> {
+                record.withShare(canaryShare)
+            }
+            isCompared || isDue -> {
+                record.enter(RolloutStage.PROMOTED, 1.0, "answered ${state.evidence.newAnswers} requests", now)
+            }
+            else -> {
+                record.withShare(canaryShare)
+            }
         }
     }
 
--- a/core/src/test/kotlin/org/ragwortlever/core/dispatch/CachedPrefixWaitTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/dispatch/CachedPrefixWaitTest.kt
@@ -40,7 +40,7 @@
     }
 
     @Test
-    fun `given a warm server with a queue shorter than the reading, when a cold one is free, then the request waits for as long as it saves`() {
+    fun `given a warm server with a short queue, when a cold one is free, then the request waits for as long as it saves`() {
         loadWarm(unreadTokens = 15_000)
         expectThat(wait(Duration.ZERO, 2.seconds)).isFalse()
         expectThat(wait(300.milliseconds, 2.seconds)).isFalse()
--- a/core/src/test/kotlin/org/ragwortlever/core/intake/IntakeControlPropertyTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/intake/IntakeControlPropertyTest.kt
@@ -101,7 +101,8 @@
         val control = IntakeControl { limits }
         val start = Instant.fromEpochMilliseconds(0)
         (0L until 40).forEach { control.open(ConnectionId(it), "idle", start + it.milliseconds) }
-        expectThat(control.open(ConnectionId(40), "ordinary", start + 1.seconds)).isEqualTo(IntakeDecision.Accepted(listOf(ConnectionId(0))))
+        val decision = control.open(ConnectionId(40), "ordinary", start + 1.seconds)
+        expectThat(decision).isEqualTo(IntakeDecision.Accepted(listOf(ConnectionId(0))))
     }
 
     @Test
--- a/core/src/test/kotlin/org/ragwortlever/core/rollout/RolloutPolicyTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/rollout/RolloutPolicyTest.kt
@@ -60,7 +60,8 @@
     @Test
     fun `given a version found bad at any moment before its completion, then it gets nothing more and stays rolled back`() {
         for (step in 0..45) {
-            val course = play { record, time -> state(record, if (time >= STEP * step) Verdict.Bad("failures") else Verdict.Open(0.0), runningOnOld = 1) }
+            val verdict = { time: Duration -> if (time >= STEP * step) Verdict.Bad("failures") else Verdict.Open(0.0) }
+            val course = play { record, time -> state(record, verdict(time), runningOnOld = 1) }
             val end = course.last().second
             expectThat(end.stage).isEqualTo(RolloutStage.ROLLED_BACK)
             expectThat(end.share).isEqualTo(0.0)
@@ -82,7 +83,8 @@
 
     @Test
     fun `given a new holder, when VMs have not reported to it, then it does not take silence for an empty old version`() {
-        val promoted = play { record, _ -> state(record, Verdict.Good, runningOnOld = 1) }.first { it.second.stage == RolloutStage.PROMOTED }.second
+        val course = play { record, _ -> state(record, Verdict.Good, runningOnOld = 1) }
+        val promoted = course.first { it.second.stage == RolloutStage.PROMOTED }.second
         val successor = RolloutPolicy("vm-2")
         val soon = Instant.fromEpochMilliseconds(promoted.stageSinceMilliseconds) + 4.seconds
         expectThat(successor.next(state(promoted, silentNodes = 1), soon).stage).isEqualTo(RolloutStage.PROMOTED)
@@ -97,7 +99,10 @@
             (0..70).forEach { turn ->
                 if (turn == step) holder = RolloutPolicy("vm-2")
                 val next = holder.next(state(record, Verdict.Good), START + STEP * turn)
-                record?.let { before -> expectThat(next.stage >= before.stage && next.startedAtMilliseconds == before.startedAtMilliseconds).isEqualTo(true) }
+                record?.let { before ->
+                    expectThat(next.stage >= before.stage).isEqualTo(true)
+                    expectThat(next.startedAtMilliseconds).isEqualTo(before.startedAtMilliseconds)
+                }
                 record = next
             }
             expectThat(record?.stage).isEqualTo(RolloutStage.COMPLETED)
--- a/core/src/test/kotlin/org/ragwortlever/core/rollout/VersionShareTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/rollout/VersionShareTest.kt
@@ -21,7 +21,11 @@
     private fun shareOf(
         record: RolloutRecord?,
         order: RolloutOrder? = this.order,
-    ) = VersionShare.of(listOfNotNull(order).associateBy { it.service }, listOfNotNull(record).associateBy { it.service }).getValue("service")
+    ): VersionShare {
+        val orders = listOfNotNull(order).associateBy { it.service }
+        val records = listOfNotNull(record).associateBy { it.service }
+        return VersionShare.of(orders, records).getValue("service")
+    }
 
     private fun VersionShare.select(
         id: String,
@@ -29,7 +33,7 @@
     ) = filter(old + new, id, isRetry, old + new) { it }
 
     @Test
-    fun `given a canary, when three hundred VMs send, then its requests stay under a tenth and go to as many servers as their load needs`() {
+    fun `given a canary, when three hundred VMs send, then its requests stay under a tenth and go to as few servers as they need`() {
         val share = shareOf(record(RolloutStage.CANARY, RolloutPolicy.DEFAULT_CANARY_SHARE))
         val selected = (0 until 30_000).map { share.select("vm-${it % 300}-$it") }
         val canaries = selected.filter { servers -> servers.all { it.version == "v2" } }
@@ -45,7 +49,8 @@
 
     @Test
     fun `given an order that nobody has begun, or that was taken back, then the new version gets nothing`() {
-        listOf(shareOf(null), shareOf(record(RolloutStage.CANARY, 0.5), order = null), shareOf(record(RolloutStage.CANARY, 0.5).copy(order = 3)))
+        val canary = record(RolloutStage.CANARY, 0.5)
+        listOf(shareOf(null), shareOf(canary, order = null), shareOf(canary.copy(order = 3)))
             .forEach { share ->
                 expectThat(share.allows("v2")).isEqualTo(false)
                 expectThat(share.select("request")).containsExactlyInAnyOrder(old)
--- a/core/src/test/kotlin/org/ragwortlever/core/rollout/VersionTestTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/rollout/VersionTestTest.kt
@@ -57,7 +57,8 @@
             val ratio = exp(random.nextGaussian() * spread) * load * if (isSlow) behaviour.slowdown else 1.0
             val before = (if (isNew) evidence.new else evidence.old)[route] ?: RouteOutcomes()
             val after = before.withAnswer(ratio).let { if (isFailed) it.copy(failures = it.failures + 1) else it }
-            evidence = if (isNew) evidence.copy(new = evidence.new + (route to after)) else evidence.copy(old = evidence.old + (route to after))
+            val added = mapOf(route to after)
+            evidence = if (isNew) evidence.copy(new = evidence.new + added) else evidence.copy(old = evidence.old + added)
             if (!isNew) return
             newAnswers++
             if (isFailed || isSlow) badAnswers++
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/RequestBody.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/caller/RequestBody.kt
@@ -30,10 +30,15 @@
 /** The refusal of a request that was rejected while it was received, so nothing of it has run. */
 internal fun RequestRejection.toRefusal(limit: Long): Refusal =
     when (this) {
-        RequestRejection.BODY_TOO_LARGE -> bodyTooLarge(limit)
-        RequestRejection.MALFORMED_BODY -> Refusal(ErrorKind.MALFORMED_REQUEST, "the request body is not framed as HTTP/1.1 defines")
-        RequestRejection.NO_ROOM ->
-            Refusal(ErrorKind.NO_ROOM, "the requests of all callers fill the memory that is kept for them", retryAfterSeconds = NO_ROOM_RETRY_SECONDS)
+        RequestRejection.BODY_TOO_LARGE -> {
+            bodyTooLarge(limit)
+        }
+        RequestRejection.MALFORMED_BODY -> {
+            Refusal(ErrorKind.MALFORMED_REQUEST, "the request body is not framed as HTTP/1.1 defines")
+        }
+        RequestRejection.NO_ROOM -> {
+            Refusal(ErrorKind.NO_ROOM, "the requests of all callers fill the memory for them", retryAfterSeconds = NO_ROOM_RETRY_SECONDS)
+        }
     }
 
 private fun bodyTooLarge(limit: Long) = Refusal(ErrorKind.BODY_TOO_LARGE, "the request body exceeds the limit of $limit bytes")
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -190,9 +190,7 @@
         Gauge.builder("ragwortlever.clients.bytes") { httpServer.reservedBytes }.register(metrics)
         follower.start()
         httpServer.start()
-        controlLoop.every(REJECTION_LOG_INTERVAL, rejections::log)
-        controlLoop.every(VERSION_REPORT_INTERVAL) { rolloutReporter.report(rolloutTraffic.open) }
-        controlLoop.every(LOAD_INTERVAL) { load = dispatcher.load(clock.now()) }
+        controlLoop.every(LOAD_INTERVAL, ::runPeriodicTasks)
         logger.info { eventLine("started", "node" to settings.nodeId, "zone" to settings.zone, "callers" to settings.callers) }
     }
 
@@ -257,6 +255,14 @@
     /** Load for the registration in the store; empty while a relay is used, because the VM then reports its load to the relay. */
     private fun loadToRegister(): Map<String, ServiceLoad> = if (feed.isRelayed) emptyMap() else relay.aggregateLoad(load)
 
+    private fun runPeriodicTasks() {
+        load = dispatcher.load(clock.now())
+        rejections.log()
+        if (rolloutTraffic.open.isEmpty()) return
+        rolloutReporter.report(rolloutTraffic.open)
+        controlLoop.after(VERSION_REPORT_DELAY) { rolloutReporter.report(rolloutTraffic.open) }
+    }
+
     private fun receiveEvidence(report: EvidenceReport): EvidenceReply? = duties?.rollouts?.receive(report)
 
     private fun reportCrash(crash: DispatchEffect.ReportCrash) {
@@ -383,9 +389,8 @@
         val POLL_INTERVAL = 50.milliseconds
         val LOAD_INTERVAL = 1.seconds
 
-        // A bad version has to be found within seconds, over the reports of all VMs.
-        val VERSION_REPORT_INTERVAL = 400.milliseconds
-        val REJECTION_LOG_INTERVAL = 1.seconds
+        // A bad version has to be found within seconds, over the reports of all VMs, so they come twice in each interval.
+        val VERSION_REPORT_DELAY = 500.milliseconds
     }
 }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutRole.kt
@@ -97,7 +97,8 @@
         held: HeldLease,
     ) {
         val since = Instant.fromEpochMilliseconds(record.stageSinceMilliseconds)
-        val isInUse = record.stage != RolloutStage.COMPLETED && state.servers.any { it.service == record.service && it.version == record.version }
+        val hasServers = state.servers.any { it.service == record.service && it.version == record.version }
+        val isInUse = record.stage != RolloutStage.COMPLETED && hasServers
         if (!record.isOpen && (isInUse || now() - since < RETENTION)) return
         val stored = store.read(record.service)?.takeIf { it.record == record } ?: return
         if (!record.isOpen) {
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutStore.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutStore.kt
@@ -41,7 +41,10 @@
         record: RolloutRecord,
         before: StoredRollout,
         held: HeldLease,
-    ): Boolean = commit(record.service, before, held, listOf(Write.Put(FleetKeys.rollout(record.service), record.encode()), statusEntry(record)))
+    ): Boolean {
+        val entry = Write.Put(FleetKeys.rollout(record.service), record.encode())
+        return commit(record.service, before, held, listOf(entry, statusEntry(record)))
+    }
 
     /** Removes the record of [service] in place of [before]. */
     fun remove(
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/SendableServersTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/SendableServersTest.kt
@@ -22,7 +22,7 @@
     }
 
     @Test
-    fun `given a request that waits for a connection, when the server starts again, or its zone or version is taken out, then it may not be sent`() {
+    fun `given a request that waits, when its server starts again, or its zone or version is taken out, then it may not be sent`() {
         servers.zonesTakenOut = setOf("a")
         expectThat(servers.contains(server)).isFalse()
         servers.zonesTakenOut = emptySet()
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
@@ -103,10 +103,17 @@
             ) = Unit
         }
     private val handler =
-        RoutedRequestHandler(gateway, serverClient, headerNames, { RouteTable(document) }, { RouteTable(document) }, { stopsAt }, observer, memory) {
-            Clock.System.now() +
-                threadDelay
-        }
+        RoutedRequestHandler(
+            gateway,
+            serverClient,
+            headerNames,
+            table = { RouteTable(document) },
+            knownTable = { RouteTable(document) },
+            stopsAt = { stopsAt },
+            observer = observer,
+            memory = memory,
+            now = { Clock.System.now() + threadDelay },
+        )
     private val listeners =
         UndertowListeners(listOf(HttpListener("127.0.0.1", 0, handler::handle)), HttpLimits(workerThreads = 8)).apply { start() }
     private val client = OkHttpClient.Builder().retryOnConnectionFailure(false).build()
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
@@ -57,7 +57,8 @@
         val servers = listOf("v1", "v1", "v2", "v2").mapIndexed { index, version ->
             BackendServer("server-$index", 1, "service", "127.0.0.1:${index + 1}", "a", 8, false, Duration.ZERO, false, 1, version)
         }
-        return FleetState(null, servers, emptyMap(), setOf("vm-1"), listOfNotNull(order).associateBy { it.service }, listOfNotNull(view).associateBy { it.service })
+        val orders = listOfNotNull(order).associateBy { it.service }
+        return FleetState(null, servers, emptyMap(), setOf("vm-1"), orders, listOfNotNull(view).associateBy { it.service })
     }
 
     private val stored: RolloutRecord?
--- a/http/src/main/kotlin/org/ragwortlever/http/ClientConnectionState.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ClientConnectionState.kt
@@ -31,6 +31,11 @@
     @Volatile
     private var isWriteBlocked = false
 
+    // Used by the connection's I/O thread alone.
+    private var untoldBytes = 0
+    private var reservedBodyBytes = 0L
+    private var lastToldNanoseconds = 0L
+
     /** Time of the first byte of the request, in nanoseconds of the system's timer. */
     @Volatile
     var requestStartNanoseconds = System.nanoTime()
@@ -50,16 +55,30 @@
     fun beginBody(announcedBytes: Long): Boolean {
         isReceivingHead = false
         unframedBytes = 0
+        untoldBytes = 0
+        reservedBodyBytes = announcedBytes
+        lastToldNanoseconds = System.nanoTime()
         return connections.decide { beginBody(id, announcedBytes, connections.now()) } is IntakeDecision.Accepted
     }
 
-    /** [count] bytes of the body have arrived, which holds [totalBytes] now; false if there is no room for them. */
+    /**
+     * [count] bytes of the body have arrived, for which [totalBytes] are reserved in all; false if there is no room for them.
+     *
+     * Reads that need no more room are told together, since most bodies arrive in many small reads at once.
+     */
     fun receiveBody(
         count: Int,
         totalBytes: Long,
     ): Boolean {
         unframedBytes = 0
-        return connections.decide { receiveBody(id, count, totalBytes, connections.now()) } is IntakeDecision.Accepted
+        untoldBytes += count
+        val nanoseconds = System.nanoTime()
+        if (totalBytes <= reservedBodyBytes && nanoseconds - lastToldNanoseconds < TELL_INTERVAL_NANOSECONDS) return true
+        val told = untoldBytes
+        untoldBytes = 0
+        lastToldNanoseconds = nanoseconds
+        reservedBodyBytes = totalBytes
+        return connections.decide { receiveBody(id, told, totalBytes, connections.now()) } is IntakeDecision.Accepted
     }
 
     /** The request has been received in full. */
@@ -96,4 +115,9 @@
         isWriteBlocked = false
         connections.record { recordUnblockedWrite(id) }
     }
+
+    private companion object {
+        // Short against the second after which a request counts as stalled.
+        const val TELL_INTERVAL_NANOSECONDS = 100_000_000L
+    }
 }
--- a/http/src/main/kotlin/org/ragwortlever/http/ClientConnections.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ClientConnections.kt
@@ -18,8 +18,6 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
-import kotlin.concurrent.thread
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
 /** Is told of connections and requests that a server does not serve. Called on any thread; must not block. */
@@ -39,7 +37,7 @@
     private val maxUnframedBytes: Int,
     val observer: IntakeObserver,
     private val now: () -> Instant,
-) : AutoCloseable {
+) {
     private val control = IntakeControl(limits)
     private val byId = ConcurrentHashMap<ConnectionId, ClientConnectionState>()
     private val byConnection = ConcurrentHashMap<StreamConnection, ClientConnectionState>()
@@ -48,9 +46,6 @@
     /** Requests that wait for a thread. */
     val waitingRequests = AtomicInteger()
 
-    @Volatile
-    private var isClosed = false
-
     /** Number of connections that may be open now. */
     val maxConnections: Int get() = limits().connections
 
@@ -60,18 +55,10 @@
     /** Bytes that all requests hold together. */
     val reservedBytes: Long get() = synchronized(control) { control.reservedBytes }
 
-    fun start() {
-        thread(isDaemon = true, name = "client-connections") {
-            while (!isClosed) {
-                Thread.sleep(SWEEP_INTERVAL.inWholeMilliseconds)
-                removeClosed()
-                closeExpired()
-            }
-        }
-    }
-
-    override fun close() {
-        isClosed = true
+    /** Closes connections that stand still, and forgets those that are closed. */
+    fun sweep() {
+        removeClosed()
+        closeExpired()
     }
 
     /** Admits [connection]; false if there is no room for it, so that it has to be closed. */
@@ -122,10 +109,6 @@
         val isSaturated = waitingRequests.get() > 0
         synchronized(control) { control.expire(isSaturated, now()) }.forEach { close(it.id, it.reason) }
     }
-
-    private companion object {
-        val SWEEP_INTERVAL = 250.milliseconds
-    }
 }
 
 /** Closes this connection on its I/O thread, which releases the descriptor only when it selects the next time. */
--- a/http/src/main/kotlin/org/ragwortlever/http/UndertowServer.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/UndertowServer.kt
@@ -30,7 +30,9 @@
 import java.io.OutputStream
 import java.lang.management.ManagementFactory
 import java.net.URI
+import kotlin.concurrent.thread
 import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Limits for the connections and requests of a server.
@@ -92,6 +94,10 @@
     private val internals = connections(::intakeOfProcess, object : IntakeObserver {})
     private val sockets = ServerSockets(limits)
 
+    @Volatile
+    private var isStopped = false
+    private var sweeper: Thread? = null
+
     /** Number of open connections of clients. */
     val openConnections: Int get() = clients.openConnections
 
@@ -100,8 +106,7 @@
 
     override fun start(): Http4kServer =
         apply {
-            clients.start()
-            internals.start()
+            sweeper = thread(isDaemon = true, name = "connection-sweeper", block = ::sweep)
             listeners.forEach { listener ->
                 val connections = if (listener.isInternal) internals else clients
                 sockets.listen(listener.host, listener.port, connections, listener.rootHandler(connections, limits))
@@ -110,13 +115,25 @@
 
     override fun stop(): Http4kServer =
         apply {
+            isStopped = true
+            sweeper?.interrupt()
             sockets.close()
-            clients.close()
-            internals.close()
         }
 
     override fun port(): Int = sockets.firstPort
 
+    private fun sweep() {
+        while (!isStopped) {
+            try {
+                Thread.sleep(SWEEP_INTERVAL.inWholeMilliseconds)
+            } catch (_: InterruptedException) {
+                return
+            }
+            clients.sweep()
+            internals.sweep()
+        }
+    }
+
     private fun connections(
         limitsOfIntake: () -> IntakeLimits,
         observer: IntakeObserver,
@@ -128,6 +145,9 @@
     private companion object {
         // The line of a request, and one buffer that holds the begin of what follows.
         const val UNFRAMED_MARGIN_BYTES = 20 * 1024
+
+        // Each turn wakes the process; the shortest time that is watched is two seconds.
+        val SWEEP_INTERVAL = 1.seconds
     }
 }
 
@@ -142,10 +162,10 @@
     connections: ClientConnections,
     limits: HttpLimits,
 ): io.undertow.server.HttpHandler {
-    if (isNonBlocking) return io.undertow.server.HttpHandler { exchange -> connections.track(exchange) { exchange.handleOnIoThread(handler) } }
     return io.undertow.server.HttpHandler { exchange ->
         connections.track(exchange) { connection ->
             when {
+                isNonBlocking -> exchange.handleOnIoThread(handler)
                 exchange.hasAmbiguousFraming() -> exchange.rejectAmbiguousFraming()
                 exchange.isRequestComplete -> exchange.dispatchTo(handler, Body.EMPTY, connection, connections)
                 else -> receiveBody(exchange, connection, connections, limits)
