Count a pipelined request's time from the end of the one before

Cause: a request that arrived while the one before it ran is not read again, so its time would have run from the first byte of that one, and it would have been refused as too late.

Change: the time starts anew when a connection's request ends.

--- a/http/src/main/kotlin/org/ragwortlever/http/ClientConnectionState.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ClientConnectionState.kt
@@ -98,6 +98,8 @@
     /** The request has ended, and the connection may carry another one. */
     fun release() {
         isReceivingHead = true
+        // A pipelined request may have arrived already, and is not read again.
+        requestStartNanoseconds = System.nanoTime()
         unframedBytes = 0
         unframedLimit = maxUnframedBytes.toLong()
         connections.record { release(id, connections.now()) }
