--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -36,6 +36,7 @@
 import org.ragwortlever.daemon.control.SuspendAwareClock
 import org.ragwortlever.daemon.gateway.DispatchGateway
 import org.ragwortlever.daemon.gateway.ResponseMemory
+import org.ragwortlever.daemon.gateway.RouteTableSource
 import org.ragwortlever.daemon.gateway.RoutedHeaderNames
 import org.ragwortlever.daemon.gateway.RoutedRequestHandler
 import org.ragwortlever.daemon.gateway.ServerCheck
@@ -170,8 +171,7 @@
             gateway = gateway,
             servers = serverClient,
             headerNames = ports.headers,
-            table = activeRoutes::await,
-            knownTable = { activeRoutes.table },
+            routes = RouteTableSource(activeRoutes::await) { activeRoutes.table },
             stopsAt = { stopDeadline },
             observer = MetricsObserver(metrics) { account -> duties?.usage?.record(account, promptTokens = 0, generatedTokens = 0) },
             memory = ResponseMemory(),
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestHandler.kt
@@ -32,7 +32,6 @@
 import org.ragwortlever.core.intake.RequestRejection
 import org.ragwortlever.core.route.CallerLimits
 import org.ragwortlever.core.route.RouteKind
-import org.ragwortlever.core.route.RouteTable
 import org.ragwortlever.daemon.caller.internalRefusal
 import org.ragwortlever.daemon.caller.readBody
 import org.ragwortlever.daemon.caller.toRefusal
@@ -46,10 +45,8 @@
 import kotlin.time.Instant
 
 /**
- * Handles the requests on the routes of [table].
+ * Handles the requests on the routes of [routes].
  *
- * @param table current routes; may wait for the first configuration and is null if none has been read.
- * @param knownTable current routes, without a wait.
  * @param memory what the responses of all requests may hold together.
  * @param isSendable whether a server may still get requests by what this VM has read last.
  * @param stopsAt when this VM cuts the requests that still run; null unless a shutdown was requested.
@@ -58,8 +55,7 @@
     private val gateway: DispatchGateway,
     private val servers: ServerClient,
     private val headerNames: RoutedHeaderNames,
-    private val table: () -> RouteTable?,
-    private val knownTable: () -> RouteTable?,
+    private val routes: RouteTableSource,
     private val stopsAt: () -> Instant?,
     private val observer: RequestObserver,
     private val memory: ResponseMemory,
@@ -90,14 +86,14 @@
     ): Response = respondWithRefusal(request.header(headerNames.requestId).orEmpty(), rejection.toRefusal(maxBodyBytes), "", now())
 
     /** Maximum size of a request's body, in bytes, by the configuration in use. */
-    val maxBodyBytes: Long get() = (knownTable()?.document?.limits ?: CallerLimits()).bodyBytes
+    val maxBodyBytes: Long get() = (routes.known()?.document?.limits ?: CallerLimits()).bodyBytes
 
     private fun prepare(
         request: Request,
         arrival: Instant,
     ): Result<PreparedRequest, Refusal> =
         binding {
-            val current = table() ?: Err(NO_CONFIGURATION).bind()
+            val current = routes.await() ?: Err(NO_CONFIGURATION).bind()
             val body = request.readBody(current.document.limits.bodyBytes).bind()
             val prepared = parser.prepare(request, body, current, nextKey.incrementAndGet(), arrival).bind()
             if (mayOutlastShutdown(prepared.request)) Err(STOPPING).bind()
