--- a/review/standins-2/EndlessBodies.java
+++ b/review/standins-2/EndlessBodies.java
@@ -8,18 +8,21 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Many clients send chunked bodies far over the limit, together less than the machine's link carries. The process must not
- * end.
+ * Many clients send chunked bodies far over the limit, for each of two machines, less than its link carries. The processes
+ * must not end.
  */
 public final class EndlessBodies {
+    private static final int VMS = 2;
+    private static final int ENDS = 3;
     private static final int CLIENTS = 1300;
+    private static final long RESTART_MILLISECONDS = 500;
     private static final int ADDRESSES = 200;
     // 960 Mbit/s, of the link's 1,000.
     private static final long BYTES_PER_SECOND = 120_000_000L;
     private static final double PROCESSOR_SHARE = 0.75;
     private static final int CHUNK_BYTES = 256;
     private static final int CHUNKS_PER_WRITE = 64;
-    private static final long LIMIT_MILLISECONDS = 45_000;
+    private static final long LIMIT_MILLISECONDS = 90_000;
 
     private EndlessBodies() {}
 
@@ -32,15 +35,18 @@
         Worker worker = new Worker("i-1", "orders", "127.0.0.1", "zone-a", request -> Worker.bytes("ok"));
         lab.store.put("op/config", Lab.configuration(1, Lab.BODY_BYTES, List.of("key1"), List.of(Lab.route("r-shop", "/shop/", "unsafe", 3000, 1))));
         lab.store.put("servers/i-1", worker.entry("ready"));
-        Vm vm = lab.vm("front-a-1", "127.0.0.61", "zone-a", lab.store.new Access("127.0.0.1"));
-        vm.start();
-        vm.awaitReady(30_000);
+        for (int number = 1; number <= VMS; number++) {
+            Vm vm = lab.vm("front-a-" + number, "127.0.0." + (60 + number), "zone-a", lab.store.new Access("127.0.0.1"));
+            vm.start();
+            vm.awaitReady(30_000);
+            vm.limitProcessor(PROCESSOR_SHARE);
+        }
         Store.pause(1500);
-        vm.limitProcessor(PROCESSOR_SHARE);
         AtomicInteger answered = new AtomicInteger();
         AtomicInteger failed = new AtomicInteger();
         Http.daemon(() -> {
             for (int number = 1; ; number++) {
+                Vm vm = lab.vms.get(number % VMS);
                 Caller.Answer answer = Caller.send(vm.callers, "POST", "/shop/order", "order-" + number, "key1", 2500, Worker.bytes("order"));
                 (answer.status == 200 ? answered : failed).incrementAndGet();
                 Store.pause(200);
@@ -48,27 +54,43 @@
         });
         Store.pause(2000);
         lab.note("before: ordinary orders answered " + answered + ", not " + failed);
-        AtomicLong sent = new AtomicLong();
-        long start = System.nanoTime();
-        if (lab.trouble) {
-            lab.note(CLIENTS + " clients send chunked bodies without end");
-            for (int client = 0; client < CLIENTS; client++) {
+        if (lab.trouble) lab.note(CLIENTS + " clients for each VM send chunked bodies without end");
+        for (Vm vm : lab.vms) {
+            AtomicLong sent = new AtomicLong();
+            long start = System.nanoTime();
+            for (int client = 0; client < CLIENTS && lab.trouble; client++) {
                 int number = client;
                 Http.daemon(() -> send(vm, number, sent, start));
             }
         }
+        int[] ends = new int[VMS];
         long begin = System.currentTimeMillis();
-        while (vm.isAlive() && System.currentTimeMillis() < begin + LIMIT_MILLISECONDS) {
-            Store.pause(1000);
-            lab.note("the process " + (vm.isAlive() ? "runs, peak " + vm.peakMegabytes() + " MB" : "has ended") + "; received or queued "
-                + sent.get() * 1000 / (System.nanoTime() - start) + " MB/s; ordinary orders answered " + answered + ", not " + failed);
-        }
-        boolean ended = !vm.isAlive();
-        if (ended) {
-            lab.note("exit status " + vm.exitStatus());
-            for (String line : vm.logLines("Terminating")) lab.note("log: " + line);
+        long last = begin;
+        while (System.currentTimeMillis() < begin + LIMIT_MILLISECONDS && !isBroken(ends)) {
+            Store.pause(100);
+            for (int number = 0; number < VMS; number++) {
+                Vm vm = lab.vms.get(number);
+                if (vm.isAlive()) continue;
+                ends[number]++;
+                lab.note(vm.name + " has ended by itself, status " + vm.exitStatus() + ", for the " + ends[number] + ". time");
+                Store.pause(RESTART_MILLISECONDS);
+                vm.start();
+                vm.limitProcessor(PROCESSOR_SHARE);
+            }
+            if (System.currentTimeMillis() < last + 5000) continue;
+            last = System.currentTimeMillis();
+            for (Vm vm : lab.vms) lab.note(vm.name + ": peak " + vm.peakMegabytes() + " MB");
+            lab.note("ordinary orders answered " + answered + ", not " + failed);
         }
-        lab.finish(ended, ended ? "the process ended by itself" : "the process runs");
+        for (Vm vm : lab.vms) for (String line : vm.logLines("Terminating")) lab.note(vm.name + " log: " + line);
+        lab.note("ordinary orders answered " + answered + ", not " + failed);
+        lab.finish(isBroken(ends), "the processes ended by themselves " + java.util.Arrays.toString(ends) + " times");
+    }
+
+    /** Whether processes have ended three times on each of two machines, as the rule has it. */
+    private static boolean isBroken(int[] ends) {
+        for (int count : ends) if (count < ENDS) return false;
+        return true;
     }
 
     private static void send(Vm vm, int client, AtomicLong sent, long start) {
--- a/review/standins-2/PlannedStop.java
+++ b/review/standins-2/PlannedStop.java
@@ -21,12 +21,15 @@
     private static final int CLIENTS = 300;
     private static final int PAUSE_MILLISECONDS = 100;
     private static final int WORK_MILLISECONDS = 4;
-    private static final long RUN_MILLISECONDS = 105_000;
+    private static final long RUN_MILLISECONDS = 60_000;
     private static final long UP_MILLISECONDS = 3000;
+    // `roll_term`, x = 1.0, gap_s = 1.3.
+    private static final long GAP_MILLISECONDS = 1300;
     private static final long LOSS_SLACK_MILLISECONDS = 200;
     private static final long GRACE_MILLISECONDS = 8000;
     private static final int DEADLINE_MILLISECONDS = 1500;
 
+    private static long nextStop;
     private static final Map<String, Long> STOPPED_AT = new ConcurrentHashMap<>();
     private static final AtomicInteger ANSWERED = new AtomicInteger();
     private static final AtomicInteger REFUSED = new AtomicInteger();
@@ -88,7 +91,20 @@
         lab.finish(LOST.get() > 0, LOST + " requests that a VM had read during one of " + count + " planned stops got no answer");
     }
 
+    /** Waits until the next VM may be stopped, a gap after the one before. */
+    private static void awaitTurn() {
+        long wait;
+        synchronized (PlannedStop.class) {
+            long now = System.currentTimeMillis();
+            long turn = Math.max(now, nextStop);
+            nextStop = turn + GAP_MILLISECONDS;
+            wait = turn - now;
+        }
+        Store.pause(wait);
+    }
+
     private static void stop(Lab lab, Vm vm) throws Exception {
+        awaitTurn();
         STOPPED_AT.put(vm.callers, System.currentTimeMillis());
         vm.signal("TERM");
         long begin = System.currentTimeMillis();
--- a/review/standins-2/Vm.java
+++ b/review/standins-2/Vm.java
@@ -21,6 +21,8 @@
     private final Path settings;
     private final Path log;
     private Process process;
+    private Process shell;
+    private boolean isClosed;
 
     /** @param host loopback address of this VM. */
     Vm(Path repository, Path folder, String name, String host, String zone, String store, String duties) throws Exception {
@@ -59,7 +61,8 @@
         }
     }
 
-    void start() throws Exception {
+    synchronized void start() throws Exception {
+        if (isClosed) throw new IllegalStateException("the trial has ended");
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(repository.resolve("deploy/system.toml")));
         if (!run.find()) throw new IllegalStateException("the deploy file has no command");
         ProcessBuilder builder = new ProcessBuilder(List.of(run.group(1).split(" ")));
@@ -79,7 +82,7 @@
         Http.daemon(() -> {
             try {
                 // One shell for all signals, since starting a program for each would take too long.
-                Process shell = new ProcessBuilder("bash").start();
+                if (shell == null) shell = new ProcessBuilder("bash").start();
                 while (isAlive()) {
                     long end = System.nanoTime() + 100_000_000L;
                     long used = processorMilliseconds();
@@ -87,11 +90,11 @@
                     while (System.nanoTime() < end) {
                         Thread.sleep(2);
                         if (!stopped && processorMilliseconds() - used >= quotaMilliseconds) {
-                            order(shell, "STOP");
+                            order("STOP");
                             stopped = true;
                         }
                     }
-                    if (stopped) order(shell, "CONT");
+                    if (stopped) order("CONT");
                 }
             } catch (Exception ended) {
                 // The process has ended.
@@ -99,7 +102,7 @@
         });
     }
 
-    private void order(Process shell, String signal) throws Exception {
+    private void order(String signal) throws Exception {
         shell.getOutputStream().write(("kill -" + signal + " " + process.pid() + "\n").getBytes());
         shell.getOutputStream().flush();
     }
@@ -168,7 +171,9 @@
         return found;
     }
 
-    void kill() {
+    synchronized void kill() {
+        isClosed = true;
+        if (shell != null) shell.destroyForcibly();
         if (process == null) return;
         process.destroyForcibly();
         try {
