--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -32,6 +32,7 @@
 import org.ragwortlever.http.SendConditionCheck
 import org.ragwortlever.http.SendConditionException
 import org.ragwortlever.http.StaleConnectionCheck
+import org.ragwortlever.http.UnconnectedSocketFactory
 import org.ragwortlever.http.UsedConnections
 import org.ragwortlever.http.plainHttpClient
 import org.ragwortlever.http.trackSends
@@ -85,15 +86,16 @@
     val lastEventId: String?,
 )
 
-/** HTTP client for backend servers. Thread-safe; [start] blocks. */
+/** HTTP client for backend servers, on sockets of [sockets]. Thread-safe; [start] blocks. */
 internal class ServerClient(
     private val headerNames: RoutedHeaderNames,
+    sockets: UnconnectedSocketFactory = KeepAliveSocketFactory,
 ) : AutoCloseable {
     private val client: OkHttpClient =
         plainHttpClient()
             .retryOnConnectionFailure(false)
             .followRedirects(false)
-            .socketFactory(KeepAliveSocketFactory)
+            .socketFactory(sockets)
             .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
             .readTimeout(Duration.ZERO.toJavaDuration())
             .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS))
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/RoutedRequestFixture.kt
@@ -24,6 +24,8 @@
 import org.ragwortlever.daemon.control.ControlLoop
 import org.ragwortlever.http.HttpLimits
 import org.ragwortlever.http.HttpListener
+import org.ragwortlever.http.KeepAliveSocketFactory
+import org.ragwortlever.http.UnconnectedSocketFactory
 import org.ragwortlever.http.UndertowListeners
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
@@ -33,16 +35,20 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** @param memory what the answers of all requests may hold together. */
+/**
+ * @param memory what the answers of all requests may hold together.
+ * @param serverSockets creates the sockets of the connections to the servers.
+ */
 internal class RoutedRequestFixture(
     memory: ResponseMemory = ResponseMemory(),
+    serverSockets: UnconnectedSocketFactory = KeepAliveSocketFactory,
 ) : AutoCloseable {
     private val control = ControlLoop()
     private val dispatcher = Dispatcher(DispatchOptions("vm-1", "a"))
     private val serverCheck = ServerCheck()
     private val gateway = DispatchGateway(control, dispatcher, Clock.System, UnreachablePeers, serverCheck)
     private val headerNames = RoutedHeaderNames()
-    private val serverClient = ServerClient(headerNames)
+    private val serverClient = ServerClient(headerNames, serverSockets)
     private val servers = ArrayList<ScriptedServer>()
     private val targets = listOf(WeightedService("service", 1))
 
@@ -118,8 +124,11 @@
     private val client = OkHttpClient.Builder().retryOnConnectionFailure(false).build()
 
     /** Starts servers with these scripts and announces them to the dispatcher as `server-0`, `server-1`, ... */
-    fun startServers(vararg scripts: (ReceivedRequest, Socket) -> Unit): List<ScriptedServer> {
-        servers += scripts.map { ScriptedServer(it) }
+    fun startServers(
+        vararg scripts: (ReceivedRequest, Socket) -> Unit,
+        readsBody: (headers: Map<String, String>) -> Boolean = { true },
+    ): List<ScriptedServer> {
+        servers += scripts.map { ScriptedServer(readsBody, it) }
         val known =
             servers.mapIndexed { index, server ->
                 KnownServer(
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/ScriptedServer.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/ScriptedServer.kt
@@ -18,8 +18,13 @@
     fun header(name: String): String? = headers[name.lowercase()]
 }
 
-/** Calls [script] for each request, with the connection's socket, to which the script writes the response. */
+/**
+ * Calls [script] for each request, with the connection's socket, to which the script writes the response.
+ *
+ * @param readsBody whether a request with these headers is read to its end before; if not, its body is left on the connection.
+ */
 internal class ScriptedServer(
+    private val readsBody: (headers: Map<String, String>) -> Boolean = { true },
     private val script: (ReceivedRequest, Socket) -> Unit,
 ) : AutoCloseable {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
@@ -38,6 +43,8 @@
     override fun close() = listener.close()
 
     private fun serve(socket: Socket) {
+        // Sends each write at once, so that a reset does not discard what a script has written before it.
+        socket.tcpNoDelay = true
         val reader = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
         try {
             while (!socket.isClosed) {
@@ -57,7 +64,7 @@
             it.substringBefore(':').lowercase() to
                 it.substringAfter(':').trim()
         }
-        val body = CharArray(headers["content-length"]?.toInt() ?: 0)
+        val body = CharArray(if (readsBody(headers)) headers["content-length"]?.toInt() ?: 0 else 0)
         var filled = 0
         while (filled < body.size) filled += reader.read(body, filled, body.size - filled)
         return ReceivedRequest(line, headers, String(body))
