Show that malformed statuses and names are no answer

What was found: both are handled here since "every line a header" and "status 100 to 599" are checked on each response. Nothing is changed.

--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/MalformedAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/MalformedAnswerTest.kt
@@ -5,11 +5,16 @@
 import org.junit.jupiter.api.RepetitionInfo
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.api.expectThrows
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
+import java.io.IOException
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicBoolean
 
 class MalformedAnswerTest {
     private val fixture = RoutedRequestFixture()
@@ -61,7 +66,25 @@
 
     // Guards against bytes in a head that are taken for a header, and against an unexpected error in place of an answer.
     @ParameterizedTest
-    @ValueSource(strings = ["no colon here", ": no name", "Bad Name: x", " Folded: x", "B\u00e4d: x", "X-Bad\u0000: x", "X-Bad: a\u0000b"])
+    @ValueSource(
+        strings = [
+            "no colon here",
+            ": no name",
+            "Bad Name: x",
+            "X-Bad : x",
+            "X-Bad\t: x",
+            " Folded: x",
+            "\tFolded: x",
+            "B\u00e4d: x",
+            "X-Bad\u0000: x",
+            "X\u0007Bad: x",
+            "X\rBad: x",
+            "X-Bad: a\u0000b",
+            "X-Bad: a\u0000",
+            "Content-Length : 4",
+            "Transfer-Encoding : chunked",
+        ],
+    )
     fun `given an answer with a line that is no header, when it arrives, then its caller gets no success`(line: String) {
         fixture.startServers({ request, socket ->
             socket.write("HTTP/1.1 200 OK\r\n${identity(request)}$line\r\nContent-Length: 4\r\n\r\ndone")
@@ -79,6 +102,8 @@
             "HTTP/1.1 099 Odd",
             "HTTP/1.1 999 Odd",
             "HTTP/1.1 000 Odd",
+            "HTTP/1.0 000",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd",
             "HTTP/2.0 200 OK",
             "\u0016\u0003\u0001",
             "HTTP/1.1 2000",
@@ -93,6 +118,41 @@
         expectThat(fixture.post("/stream/7").use { it.code }).isEqualTo(502)
     }
 
+    // Guards against a malformed head that ends a request which another server could run, or that counts as "not run".
+    @ParameterizedTest
+    @MethodSource("malformedHeads")
+    fun `given an answer with a malformed head, when it arrives, then it is neither an answer nor a refusal`(head: String) {
+        val hasFailed = AtomicBoolean()
+        val script = { request: ReceivedRequest, socket: Socket ->
+            if (hasFailed.getAndSet(true)) {
+                socket.answer(request, "sound")
+            } else {
+                socket.write("$head\r\n${identity(request)}Content-Length: 4\r\n\r\ndone")
+            }
+        }
+        fixture.startServers(script, script)
+        expectThat(fixture.post("/safe/7").use { it.body.string() }).isEqualTo("sound")
+        hasFailed.set(false)
+        expectThat(fixture.post("/once/7").use { it.code }).isEqualTo(502)
+    }
+
+    // Guards against a stream that goes on with the body of an answer whose head is malformed.
+    @ParameterizedTest
+    @MethodSource("malformedHeads")
+    fun `given a resumable stream, when the next server's head is malformed, then the caller's stream breaks off`(head: String) {
+        val script = { request: ReceivedRequest, socket: Socket ->
+            if (request.header("Last-Event-ID") == null) {
+                socket.beginStream(request)
+                socket.chunk("id: 1\ndata: a\n\n")
+            } else {
+                socket.write("$head\r\n${identity(request)}Content-Type: text/event-stream\r\n\r\nid: 2\ndata: b\n\n")
+            }
+            socket.close()
+        }
+        fixture.startServers(script, script)
+        fixture.post("/resumable/7").use { response -> expectThrows<IOException> { response.body.string() } }
+    }
+
     // Guards against a rule so strict that sound answers without a length and without chunks are refused.
     @Test
     fun `given an answer without length and chunks, when the server closes, then its caller gets all of it`() {
@@ -127,7 +187,19 @@
 
     private fun identity(request: ReceivedRequest) = "X-Request-Id: ${request.header("X-Request-Id")}\r\nX-Answer-Signature: signed\r\n"
 
-    private companion object {
-        const val HEAD_LENGTH = 86
+    companion object {
+        private const val HEAD_LENGTH = 86
+
+        /** Heads without the lines that identify them. */
+        @JvmStatic
+        fun malformedHeads() =
+            listOf(
+                "HTTP/1.1 000 Odd",
+                "HTTP/1.1 000 Odd\r\nX-Not-Run: 1",
+                "HTTP/1.1 200 OK\r\nX Bad: x",
+                "HTTP/1.1 200 OK\r\nX-Bad\u0001: x",
+                "HTTP/1.1 503 Full\r\nX Bad: x\r\nX-Not-Run: 1",
+                "HTTP/1.1 421 Misdirected\r\nX-Bad\u0001: x",
+            )
     }
 }
