Check the lines of heads before OkHttp reads them

What callers saw: an answer whose interim response (100, 102 to 199) had a field name with a blank or a control byte, or a line without a colon, reached its caller as an answer.

Cause: the check looked at the headers that OkHttp hands over. OkHttp reads the heads of interim responses and drops them, and it trims values.

Change: ResponseFraming, which sees the bytes of all heads, checks each line in ResponseHead. The check of names and values moves there from ResponseHeadCheck, which sees less. Trailers use the same function, so their values are checked as well. It works since no byte after a faulty line is passed on: the next read of the head fails, and the answer counts as malformed.

Unusual lines that are allowed pass as before.

--- a/http/src/main/kotlin/org/ragwortlever/http/ResponseFraming.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ResponseFraming.kt
@@ -87,7 +87,7 @@
     private fun endTrailer(content: String) {
         if (content.isEmpty()) {
             state = State.COMPLETE
-        } else if (':' !in content || !content.substringBefore(':').isToken()) {
+        } else if (!content.isFieldLine()) {
             throw MalformedResponseException("the trailer has an invalid line")
         }
     }
--- a/http/src/main/kotlin/org/ragwortlever/http/ResponseHead.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ResponseHead.kt
@@ -32,13 +32,15 @@
     /**
      * Adds the next line, which isn't empty.
      *
-     * @throws MalformedResponseException if it is the first line and no status line.
+     * @throws MalformedResponseException if it is the first line and no status line, or a later one and no field line.
      */
     fun addLine(line: String) {
         if (status == null) {
             status = parseStatus(line) ?: throw MalformedResponseException("the status line is invalid")
             return
         }
+        // OkHttp drops the heads of interim responses and trims values, so it shows only some of the malformed lines.
+        if (!line.isFieldLine()) throw MalformedResponseException("the head has an invalid line")
         line.valueOf("Content-Length")?.let { lengths += it }
         line.valueOf("Transfer-Encoding")?.let { encodings += it }
     }
--- a/http/src/main/kotlin/org/ragwortlever/http/ResponseHeadCheck.kt
+++ b/http/src/main/kotlin/org/ragwortlever/http/ResponseHeadCheck.kt
@@ -1,6 +1,7 @@
 /*
- * Rejects responses whose head is malformed. OkHttp reads heads leniently: of several lengths it takes the last, an
- * unreadable one counts as none, and a line that is no header becomes one. A part of a body could then pass for the whole.
+ * Rejects responses whose head is malformed. OkHttp reads heads leniently: of several lengths it takes the last, and an
+ * unreadable one counts as none. A part of a body could then pass for the whole. The lines of heads are checked before
+ * OkHttp reads them, by ResponseFraming.
  */
 package org.ragwortlever.http
 
@@ -43,9 +44,6 @@
             status !in VALID_STATUSES -> {
                 "the status $status is invalid"
             }
-            headers.any { (name, value) -> !name.isToken() || value.any { it.isForbiddenInValue() } } -> {
-                "the head has an invalid line"
-            }
             isFramingAmbiguous(headers.values("Content-Length"), headers.values("Transfer-Encoding")) -> {
                 "the headers do not determine the end of the body"
             }
@@ -54,12 +52,5 @@
             }
         }
 
-    private fun Char.isForbiddenInValue() = (this < ' ' && this != '\t') || this == '\u007f'
-
     private val VALID_STATUSES = 100..599
 }
-
-/** Whether this is a token (RFC 9110, section 5.6.2), such as the name of a header. */
-internal fun String.isToken() = isNotEmpty() && all { it in 'a'..'z' || it in 'A'..'Z' || it in '0'..'9' || it in TOKEN_SYMBOLS }
-
-private const val TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~"
--- a/http/src/test/kotlin/org/ragwortlever/http/ResponseFramingTest.kt
+++ b/http/src/test/kotlin/org/ragwortlever/http/ResponseFramingTest.kt
@@ -90,6 +90,7 @@
             "4|\ndone\r\n",
             "4\r\ndone\r\n0\r\n|\n",
             "4\r\ndone\r\n0\r\nno trailer\r|\n",
+            "4\r\ndone\r\n0\r\nX-Sum: 1\u0000\r|\n",
             "4\r\ndone\r\nx\r|\n",
         ],
     )
--- a/http/src/test/kotlin/org/ragwortlever/http/ResponseHeadCheckTest.kt
+++ b/http/src/test/kotlin/org/ragwortlever/http/ResponseHeadCheckTest.kt
@@ -41,6 +41,22 @@
         expectThrows<IOException> { receive("HTTP/1.1 200 OK\r\n$line\r\n\r\n4\r\ndone\r\n0\r\n\r\n") }
     }
 
+    // Guards against the same line in a head that OkHttp reads and drops.
+    @ParameterizedTest
+    @MethodSource("malformedLines")
+    fun `given a malformed line in an interim head, when the response is read, then that fails`(line: String) {
+        expectThrows<IOException> {
+            receive("HTTP/1.1 100 Continue\r\n$line\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+        }
+    }
+
+    // Guards against control bytes that OkHttp trims, so that the caller gets a value that the server has not sent.
+    @ParameterizedTest
+    @ValueSource(strings = ["X-Bad: \u001fx", "X-Bad: x\r", "X-Bad: x\u000b", "X-Bad: \u001c", "Content-Length: 4\u000c"])
+    fun `given a control byte at an end of a value, when the response is read, then that fails`(line: String) {
+        expectThrows<IOException> { receive("HTTP/1.1 200 OK\r\n$line\r\n\r\ndone") }
+    }
+
     // Guards against a rule so strict that sound heads fail: any token is a name, and a value may hold tabs and bytes above 127.
     @Test
     fun `given unusual lines that are allowed, when the response is read, then all of it is`() {
