Show a reset during an upload for answers that are passed on as they arrive

Plain services on the product's own interface are read through OkHttpHandler, which hands the body on while it arrives.

--- a/http/src/test/kotlin/org/ragwortlever/http/ResetWhileSendingTest.kt
+++ b/http/src/test/kotlin/org/ragwortlever/http/ResetWhileSendingTest.kt
@@ -4,6 +4,7 @@
 import okhttp3.Request
 import okhttp3.RequestBody
 import okio.BufferedSink
+import org.http4k.core.Method
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -19,11 +20,13 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
+import org.http4k.core.Request as Http4kRequest
 
 class ResetWhileSendingTest {
     private val listener = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
     private val client = plainHttpClient().retryOnConnectionFailure(false).build()
     private val hasResponded = CompletableFuture<Unit>()
+    private val url = "http://127.0.0.1:${listener.localPort}/"
 
     @AfterEach
     fun close() {
@@ -54,6 +57,18 @@
         expectThrows<IOException> { exchange() }
     }
 
+    // Guards against the same part where a response is passed on while it is read, as those of plain services are.
+    @Test
+    fun `given a response that is passed on as it arrives, when a reset interrupts its request, then reading it fails`() {
+        serve { socket ->
+            socket.write("HTTP/1.1 200 OK\r\n\r\npart")
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+        val request = Http4kRequest(Method.POST, url).body(PausingStream(), PARTS.toLong() * PART_BYTES)
+        expectThrows<IOException> { OkHttpHandler(client)(request).body.stream.use { it.readAllBytes() } }
+    }
+
     // Guards against a rule so strict that a response whose end is proved fails because its request was interrupted.
     @ParameterizedTest
     @ValueSource(strings = ["Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"])
@@ -92,7 +107,7 @@
 
     /** Sends the first part of a request, and the others once the server has responded; returns the body of the response. */
     private fun exchange(): String {
-        val request = Request.Builder().url("http://127.0.0.1:${listener.localPort}/").post(PausingBody()).build()
+        val request = Request.Builder().url(url).post(PausingBody()).build()
         return client.newCall(request).execute().use { it.body.string() }
     }
 
@@ -110,6 +125,16 @@
         }
     }
 
+    /** The same body as a stream, of which the client buffers a part before it sends. */
+    private inner class PausingStream : ChunkStream() {
+        private var part = 0
+
+        override fun nextChunk(): ByteArray? {
+            if (part == 2) hasResponded.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+            return if (part++ < PARTS) ByteArray(PART_BYTES) else null
+        }
+    }
+
     private companion object {
         const val PARTS = 64
         const val PART_BYTES = 8192
