Show malformed interim heads and values over the whole path

Change: four cases in MalformedAnswerTest: three malformed lines in an interim head, and a control byte at the end of a value.

--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/MalformedAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/gateway/MalformedAnswerTest.kt
@@ -81,6 +81,7 @@
             "X\rBad: x",
             "X-Bad: a\u0000b",
             "X-Bad: a\u0000",
+            "X-Bad: a\u001f",
             "Content-Length : 4",
             "Transfer-Encoding : chunked",
         ],
@@ -94,6 +95,18 @@
         expectThat(fixture.post("/stream/7").use { it.code }).isEqualTo(502)
     }
 
+    // Guards against a malformed line in a head that the client reads and drops, so that only the bytes show it.
+    @ParameterizedTest
+    @ValueSource(strings = ["Bad Name: x", "X-Bad\u0001: x", "no colon here"])
+    fun `given an interim response with a line that is no header, when an answer follows, then its caller gets no success`(line: String) {
+        fixture.startServers({ request, socket ->
+            socket.write("HTTP/1.1 103 Early Hints\r\n$line\r\n\r\nHTTP/1.1 200 OK\r\n${identity(request)}Content-Length: 4\r\n\r\ndone")
+            socket.close()
+        })
+        expectThat(fixture.post("/once/7").use { it.code }).isEqualTo(502)
+        expectThat(fixture.post("/stream/7").use { it.code }).isEqualTo(502)
+    }
+
     // Guards against a status that the entry VM cannot handle and that ends the request in an unexpected error.
     @ParameterizedTest
     @ValueSource(
