--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageRecords.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageRecords.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import java.security.MessageDigest
 
 /**
  * Counts of one node incarnation in one window. Counts are cumulative: a part includes every part with a lower sequence.
@@ -48,7 +49,18 @@
             ),
         )
 
+    /** Short digest of the document that [encode] returns, by which log lines show whether two reports are the same. */
+    fun digest(): String =
+        MessageDigest
+            .getInstance("SHA-256")
+            .digest(encode().toByteArray())
+            .take(DIGEST_BYTES)
+            .toByteArray()
+            .toHexString()
+
     companion object {
+        private const val DIGEST_BYTES = 4
+
         fun decode(text: String): SealedWindow = Json.decodeFromString(serializer(), text)
     }
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -186,6 +186,7 @@
     fun start() {
         Gauge.builder("ragwortlever.requests.open") { inFlight.count }.register(metrics)
         Gauge.builder("ragwortlever.configuration.version") { activeRoutes.table?.document?.version ?: 0 }.register(metrics)
+        Gauge.builder("ragwortlever.store.epoch") { ports.store.epoch }.register(metrics)
         Gauge.builder("ragwortlever.clients.connections") { httpServer.openConnections }.register(metrics)
         Gauge.builder("ragwortlever.clients.bytes") { httpServer.reservedBytes }.register(metrics)
         follower.start()
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/KeyValueStore.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/platform/KeyValueStore.kt
@@ -9,6 +9,9 @@
 import kotlin.time.Duration
 
 interface KeyValueStore {
+    /** The newest epoch of the store that this process knows: it rises when the store comes back from an older copy. */
+    val epoch: Long get() = 0
+
     /** Reads one key, at the newest revision. */
     fun read(key: String): Result<StoreRead, StoreFailure>
 
--- /dev/null
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageReporterLog.kt
@@ -0,0 +1,88 @@
+// Logs what the reporter of usage windows did, so that two reports of one window can be explained from the log.
+package org.ragwortlever.daemon.role
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.ragwortlever.core.log.eventLine
+import org.ragwortlever.core.store.StoreAnswer
+import org.ragwortlever.core.store.committedRevision
+import org.ragwortlever.core.usage.ReporterAnswer
+import org.ragwortlever.core.usage.ReporterStage
+import org.ragwortlever.core.usage.SealedWindow
+import org.ragwortlever.core.usage.UsageCursor
+import org.ragwortlever.core.usage.UsageReporter
+import kotlin.time.Instant
+
+/** Confined to the reporter's thread. */
+internal class UsageReporterLog {
+    private var newestCursor: UsageCursor? = null
+
+    /** Logs the outcome of the step from [before] to [after], which processed [answer]. */
+    fun record(
+        before: UsageReporter,
+        answer: ReporterAnswer,
+        after: UsageReporter,
+    ) {
+        val fromStore = (answer as? ReporterAnswer.FromStore)?.answer ?: return
+        when (val stage = before.stage) {
+            is ReporterStage.Seal -> recordSeal(stage.draft, before.fencing, fromStore)
+            is ReporterStage.ReadCursor -> if (fromStore is StoreAnswer.Found) recordCursor(after)
+            else -> Unit
+        }
+    }
+
+    /** Logs one report, with a digest that tells two reports of one window apart. */
+    fun recordReport(
+        sealed: SealedWindow,
+        fencing: Long,
+        outcome: SendOutcome,
+    ) = logger.info {
+        eventLine(
+            "usage-report",
+            "window" to sealed.window,
+            "parts" to sealed.parts.size,
+            "requests" to sealed.requests(),
+            "digest" to sealed.digest(),
+            "fencing" to fencing,
+            "outcome" to outcome,
+        )
+    }
+
+    private fun recordSeal(
+        sealed: SealedWindow,
+        fencing: Long,
+        answer: StoreAnswer,
+    ) = logger.info {
+        eventLine(
+            "usage-sealed",
+            "window" to sealed.window,
+            "parts" to sealed.parts.size,
+            "requests" to sealed.requests(),
+            "digest" to sealed.digest(),
+            "fencing" to fencing,
+            "revision" to answer.committedRevision(),
+        )
+    }
+
+    /** The cursor never goes back in a store that keeps what it has acknowledged. */
+    private fun recordCursor(after: UsageReporter) {
+        val newest = newestCursor
+        val read = after.cursor?.takeUnless { after.stage is ReporterStage.StartCursor }
+        if (newest != null && (read == null || Instant.parse(read.sealed) < Instant.parse(newest.sealed))) {
+            logger.warn {
+                eventLine(
+                    "usage-cursor-went-back",
+                    "sealed" to read?.sealed,
+                    "sealed-before" to newest.sealed,
+                    "revision" to after.cursorRevision.takeIf { read != null },
+                )
+            }
+        }
+        newestCursor = read
+    }
+
+    private fun SealedWindow.requests() = totals.values.sumOf { it.requests }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
@@ -2,11 +2,9 @@
 package org.ragwortlever.daemon.role
 
 import com.github.michaelbull.result.fold
-import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.ragwortlever.core.lease.LeaseTimes
-import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.core.usage.ReporterAnswer
 import org.ragwortlever.core.usage.ReporterCall
 import org.ragwortlever.core.usage.SealedWindow
@@ -74,6 +72,7 @@
     private val flushThread = RoleThread("usage-flush", times.pause, ::flushIfDue)
     private val reportThread = RoleThread("usage-report", times.pause, ::executeNextReporterCall)
     private var reporter = UsageReporter(times.lease, times.grace, windowLength = times.windowLength)
+    private val reporterLog = UsageReporterLog()
     private var flushAt = now()
 
     fun start() {
@@ -162,7 +161,9 @@
         reporter = reporter.underLease(held, now())
         val call = held?.let { reporter.next(it, now()) } ?: return false
         val answer = execute(call, held.fencing)
-        reporter = reporter.underLease(lease.held(), now()).answered(answer, held.fencing, now())
+        val before = reporter
+        reporter = before.underLease(lease.held(), now()).answered(answer, held.fencing, now())
+        reporterLog.record(before, answer, reporter)
         return true
     }
 
@@ -180,12 +181,8 @@
         fencing: Long,
     ): ReporterAnswer {
         val outcome = reportSender.send(sealed, fencing)
-        logger.info { eventLine("usage-report", "window" to sealed.window, "parts" to sealed.parts.size, "outcome" to outcome) }
+        reporterLog.recordReport(sealed, fencing, outcome)
         val accepted = outcome is SendOutcome.Answered && outcome.status in 200..299
         return if (accepted) ReporterAnswer.Reported else ReporterAnswer.NotReported
     }
-
-    private companion object {
-        val logger = KotlinLogging.logger {}
-    }
 }
