--- a/core/src/test/kotlin/org/ragwortlever/core/store/FakeStore.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/store/FakeStore.kt
@@ -20,6 +20,9 @@
         now: Instant,
     ): Pair<FakeStore, StoreAnswer> = at(now).answer(call, now)
 
+    /** Returns the state after the store has come back from [copy], an older state of it; numbers are given out again from there. */
+    fun restored(copy: FakeStore): FakeStore = copy
+
     private fun answer(
         call: StoreCall,
         now: Instant,
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageSimulation.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageSimulation.kt
@@ -21,6 +21,7 @@
  * Limits of a simulation.
  *
  * @property staleReads whether a read may return an older state of the store.
+ * @property lateCalls whether a commit whose answer was lost may be executed at any later time.
  * @property without mechanisms that are disabled.
  */
 internal data class UsageBounds(
@@ -28,6 +29,7 @@
     val tick: Duration,
     val end: Instant,
     val staleReads: Boolean,
+    val lateCalls: Boolean = false,
     val gracePeriod: Duration = 30.seconds,
     val without: Set<UsageMechanism> =
         UsageMechanism.entries.filter { it.name in System.getProperty("without").orEmpty().split(',') }.toSet(),
@@ -54,6 +56,12 @@
     val isAlive: Boolean = true,
 )
 
+/** Fencing token of a report, and the index of the reporter that sent it. */
+internal data class SentToken(
+    val reporter: Int,
+    val token: Long,
+)
+
 /** Possible next event; [apply] returns the state after it. */
 internal data class UsageTransition(
     val name: String,
@@ -66,7 +74,9 @@
  * @property remainingCounts how many more requests may be counted.
  * @property remainingLosses how many more messages may be lost.
  * @property staleStore older state of the store that a stale read returns.
+ * @property lateCalls commits without an answer that may still be executed.
  * @property reports distinct reports that the usage service received, by window.
+ * @property lastToken fencing token of the last report that arrived.
  * @property problem first violation that was found when an event was applied.
  */
 internal data class UsageSimulation(
@@ -79,7 +89,9 @@
     val copyFlush: UsageFlush? = null,
     val store: FakeStore = FakeStore(),
     val staleStore: FakeStore = store,
+    val lateCalls: List<StoreCall> = emptyList(),
     val reports: Map<String, Set<String>> = emptyMap(),
+    val lastToken: SentToken? = null,
     val problem: String? = null,
 ) {
     /** Describes the first violation of the rules, or returns null if there is none. */
@@ -93,7 +105,7 @@
         }
         return listOfNotNull(tick.takeIf { now < bounds.end }, snapshot) +
             reporters.indices.flatMap { leaseTransitions(it) + reportTransitions(it, bounds) } +
-            sources.indices.flatMap { sourceTransitions(it, bounds) } + copyTransitions(bounds)
+            sources.indices.flatMap { sourceTransitions(it, bounds) } + copyTransitions(bounds) + lateTransitions()
     }
 
     /** Sums the totals and corrections of all sealed windows. */
@@ -130,23 +142,43 @@
         }
         val lost = transition("lost $index") { copy(remainingLosses = remainingLosses - 1).take(ReporterAnswer.NotReported) }
         if (now > startedAt + bounds.times.sendTimeout) return listOf(lost.copy { take(ReporterAnswer.NotReported) })
-        val received = received(index, (call as ReporterCall.Report).sealed, bounds)
+        val received = received(SentToken(index, fencing), (call as ReporterCall.Report).sealed, bounds)
         val arrives = transition("arrives $index") { received.take(ReporterAnswer.Reported) }
         val answerLost = transition("lost $index") { received.copy(remainingLosses = remainingLosses - 1).take(ReporterAnswer.NotReported) }
         return if (remainingLosses > 0) listOf(arrives, lost, answerLost) else listOf(arrives)
     }
 
     private fun received(
-        index: Int,
+        sent: SentToken,
         sealed: SealedWindow,
         bounds: UsageBounds,
     ): UsageSimulation {
+        val index = sent.reporter
         val other = reporters.indices.firstOrNull { it != index && reporters[it].held(bounds)?.isInCharge(now) == true }
         val found = other?.let { "reporter $index reported ${sealed.window} while reporter $it was in charge" }
         val figures = reports[sealed.window].orEmpty() + sealed.encode()
-        return copy(reports = reports + (sealed.window to figures), problem = problem ?: found)
+        return copy(
+            reports = reports + (sealed.window to figures),
+            lastToken = sent,
+            problem = problem ?: found ?: lastToken?.let { tokenProblem(it, sent) },
+        )
     }
 
+    private fun tokenProblem(
+        before: SentToken,
+        after: SentToken,
+    ): String? =
+        when {
+            after.token < before.token -> "token ${after.token} was sent after ${before.token}"
+            after.token == before.token && after.reporter != before.reporter -> "two reporters sent token ${after.token}"
+            else -> null
+        }
+
+    private fun lateTransitions(): List<UsageTransition> =
+        lateCalls.indices.map { index ->
+            transition("late call") { copy(store = store.call(lateCalls[index], now).first, lateCalls = lateCalls.drop(index + 1)) }
+        }
+
     private fun sourceTransitions(
         index: Int,
         bounds: UsageBounds,
@@ -210,6 +242,9 @@
                     0 &&
                     changes
             },
+            transition("delayed $name") { copy(lateCalls = lateCalls + call, remainingLosses = remainingLosses - 1).take(failed) }.takeIf {
+                bounds?.lateCalls == true && call is StoreCall.Commit && remainingLosses > 0
+            },
         )
     }
 
