--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
@@ -11,117 +11,15 @@
 import org.ragwortlever.core.lease.HeldLease
 import org.ragwortlever.core.lease.LeaseTimes
 import org.ragwortlever.core.store.Condition
-import org.ragwortlever.core.store.MAXIMUM_TRANSACTION_ENTRIES
 import org.ragwortlever.core.store.StoreAnswer
-import org.ragwortlever.core.store.StoreCall
 import org.ragwortlever.core.store.StoreEntry
 import org.ragwortlever.core.store.StoreRead
-import org.ragwortlever.core.store.Transaction
-import org.ragwortlever.core.store.Write
 import org.ragwortlever.core.store.committedRevision
 import org.ragwortlever.core.store.readSince
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Call that the reporter wants to make. */
-sealed interface ReporterCall {
-    /** Makes [call] to the store. */
-    data class ToStore(
-        val call: StoreCall,
-    ) : ReporterCall
-
-    /** Sends a sealed window to the usage service, provided that the lease still allows it right before the write. */
-    data class Report(
-        val sealed: SealedWindow,
-    ) : ReporterCall
-}
-
-/** Result of a [ReporterCall]. */
-sealed interface ReporterAnswer {
-    /** The store's [answer] to a [ReporterCall.ToStore]. */
-    data class FromStore(
-        val answer: StoreAnswer,
-    ) : ReporterAnswer
-
-    /** The usage service accepted the report. */
-    data object Reported : ReporterAnswer
-
-    /** The report was not sent, was not accepted, or got no answer; it is sent again. */
-    data object NotReported : ReporterAnswer
-}
-
-/** Next step of the reporter. */
-sealed interface ReporterStage {
-    /** Reads the cursor, which shows the next window to seal or report. */
-    data object ReadCursor : ReporterStage
-
-    /** Creates the cursor, so that [first] is the first window to be reported. */
-    data class StartCursor(
-        val first: UsageWindow,
-    ) : ReporterStage
-
-    /** Reads a window that is sealed but not reported. */
-    data class ReadSealed(
-        val window: UsageWindow,
-    ) : ReporterStage
-
-    /** Sends [sealed] to the usage service. */
-    data class Report(
-        val sealed: SealedWindow,
-    ) : ReporterStage
-
-    /** Moves the reported position of the cursor to [window]. */
-    data class MarkReported(
-        val window: UsageWindow,
-    ) : ReporterStage
-
-    /** Reads whether [window] is closed. */
-    data class ReadClosed(
-        val window: UsageWindow,
-    ) : ReporterStage
-
-    /** Closes [window], so that it accepts no more parts. */
-    data class Close(
-        val window: UsageWindow,
-    ) : ReporterStage
-
-    /** Reads the parts of [window] at [closedRevision], the store revision at which it was closed, or later. */
-    data class ReadParts(
-        val window: UsageWindow,
-        val closedRevision: Long,
-    ) : ReporterStage
-
-    /** Reads the late parts of all closed windows, for the corrections of [draft]. */
-    data class ReadLate(
-        val draft: SealedWindow,
-        val closedRevision: Long,
-    ) : ReporterStage
-
-    /** Reads the counts of the first of the [missing] late parts that the totals of its window already contain. */
-    data class ReadFinalPart(
-        val draft: SealedWindow,
-        val late: List<LatePart>,
-        val missing: List<LatePart>,
-    ) : ReporterStage
-
-    /** Writes [draft] as a sealed window and marks the counts of the [late] parts as reported. */
-    data class Seal(
-        val draft: SealedWindow,
-        val late: List<LatePart>,
-    ) : ReporterStage
-}
-
-/** Late part as the store has it; [reported] is the share of its counts that sealed windows already contain. */
-data class LatePart(
-    val entry: StoreEntry,
-    val part: UsagePart,
-    val reported: AccountCounts,
-) {
-    val window: String get() = entry.key.removePrefix(UsageKeys.LATE_PREFIX).substringBefore('/')
-    val source: String get() = entry.key.substringAfterLast('/')
-}
-
 /**
  * State of the reporter in one process; immutable.
  *
@@ -298,68 +196,3 @@
             .filterValues { it.isNotEmpty() }
     return ReporterStage.Seal(draft.copy(corrections = corrections), late)
 }
-
-private fun ReporterStage.storeCall(
-    guard: Condition,
-    cursor: UsageCursor?,
-    cursorRevision: Long,
-): StoreCall =
-    when (this) {
-        is ReporterStage.ReadCursor -> StoreCall.Read(UsageKeys.CURSOR)
-        is ReporterStage.StartCursor -> start(guard)
-        is ReporterStage.ReadSealed -> StoreCall.Read(UsageKeys.sealed(window.name))
-        is ReporterStage.ReadClosed -> StoreCall.Read(UsageKeys.closed(window.name))
-        is ReporterStage.Close -> close(guard)
-        is ReporterStage.ReadParts -> StoreCall.Read(UsageKeys.openPrefix(window.name), prefix = true)
-        is ReporterStage.ReadLate -> StoreCall.Read(UsageKeys.LATE_PREFIX, prefix = true)
-        is ReporterStage.ReadFinalPart -> StoreCall.Read(UsageKeys.open(missing.first().window, missing.first().source))
-        is ReporterStage.Seal -> seal(guard, checkNotNull(cursor), cursorRevision)
-        is ReporterStage.MarkReported -> moveCursor(guard, checkNotNull(cursor).copy(reported = window.name), cursorRevision)
-        is ReporterStage.Report -> error("stage Report has no store call: the sealed window is sent to the usage service")
-    }
-
-/**
- * Creates the cursor. The first reported window is the one before the window in which the first reporter got the lease;
- * earlier windows are never reported.
- */
-private fun ReporterStage.StartCursor.start(guard: Condition): StoreCall {
-    val before = UsageWindow(first.start - first.length).name
-    val conditions = listOf(guard, Condition.Absent(UsageKeys.CURSOR))
-    return StoreCall.Commit(Transaction(conditions, listOf(Write.Put(UsageKeys.CURSOR, UsageCursor(before, before).encode()))))
-}
-
-private fun ReporterStage.Close.close(guard: Condition): StoreCall {
-    val key = UsageKeys.closed(window.name)
-    return StoreCall.Commit(Transaction(listOf(guard, Condition.Absent(key)), listOf(Write.Put(key, window.name))))
-}
-
-private fun ReporterStage.Seal.seal(
-    guard: Condition,
-    cursor: UsageCursor,
-    cursorRevision: Long,
-): StoreCall {
-    val key = UsageKeys.sealed(draft.window)
-    val conditions =
-        listOf(guard, Condition.Absent(key), Condition.ModifiedAt(UsageKeys.CURSOR, cursorRevision)) +
-            late.map { Condition.ModifiedAt(it.entry.key, it.entry.modifyRevision) }
-    val writes =
-        listOf(Write.Put(key, draft.encode()), Write.Put(UsageKeys.CURSOR, cursor.copy(sealed = draft.window).encode())) +
-            late.map { Write.Put(it.entry.key, it.part.copy(reported = it.part.counts).encode()) }
-    return StoreCall.Commit(Transaction(conditions, writes))
-}
-
-private fun moveCursor(
-    guard: Condition,
-    cursor: UsageCursor,
-    cursorRevision: Long,
-): StoreCall {
-    val conditions = listOf(guard, Condition.ModifiedAt(UsageKeys.CURSOR, cursorRevision))
-    return StoreCall.Commit(Transaction(conditions, listOf(Write.Put(UsageKeys.CURSOR, cursor.encode()))))
-}
-
-// Conditions and writes of a seal without late parts: conditions on lease, sealed window and cursor, writes of the last two.
-private const val ENTRIES_PER_SEAL = 5
-private const val ENTRIES_PER_LATE_PART = 2
-
-// Late parts that do not fit into one transaction are corrected with the next window.
-private const val MAXIMUM_LATE_PARTS = (MAXIMUM_TRANSACTION_ENTRIES - ENTRIES_PER_SEAL) / ENTRIES_PER_LATE_PART
