--- a/core/src/main/kotlin/org/ragwortlever/core/lease/HeldLease.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/lease/HeldLease.kt
@@ -32,9 +32,12 @@
  *
  * @property key lease key in the store.
  * @property lease id of the lease in the store.
- * @property fencing fencing token: the creation revision of the key, which is higher for each later holder.
+ * @property fencing fencing token: the creation revision of the key with the store's epoch, which is higher for each later
+ *   holder.
  * @property until end of the lease by the holder's clock; the store ends it later by the drift allowance.
  * @property sendFrom time by the holder's clock from which no send of the previous holder can still be in progress.
+ * @property continues fencing token of the lease that this process held when it learned of the store's epoch; 0 if it held
+ *   none. Nobody else has acted in the role between the two.
  */
 data class HeldLease(
     val key: String,
@@ -42,6 +45,7 @@
     val fencing: Long,
     val until: Instant,
     val sendFrom: Instant,
+    val continues: Long = 0,
 ) {
     /** Whether the lease is valid at [now] by the holder's clock. */
     fun isHeld(now: Instant): Boolean = now < until
--- a/core/src/main/kotlin/org/ragwortlever/core/lease/LeaseClaim.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/lease/LeaseClaim.kt
@@ -1,6 +1,10 @@
 /*
  * The state machine with which one process claims, renews and releases the lease of an exclusive role. One call to the
  * store is in flight at a time: `nextCall` returns it and `handleAnswer` applies its answer.
+ *
+ * Each epoch of the store has a lease key of its own, so neither a key nor a lease of an earlier epoch counts. The holder
+ * of the epoch before claims the new key at once. All others wait until its lease must have ended, since it may not have
+ * learned of the new epoch.
  */
 package org.ragwortlever.core.lease
 
@@ -48,23 +52,54 @@
     ) : LeaseStage
 }
 
-/** A process's claim to the role with lease key [key]; [owner] is the key's value and identifies this run of the process. */
+/**
+ * A process's claim to a role.
+ *
+ * @property key lease key of the role in epoch 0; in a later epoch the epoch is appended.
+ * @property owner value of the key; identifies this run of the process.
+ * @property epoch epoch of the store that the claim belongs to.
+ * @property epochSince when this process learned of the epoch.
+ * @property previous lease of an earlier epoch that this process held when it learned of [epoch].
+ */
 data class LeaseClaim(
     val key: String,
     val owner: String,
     val times: LeaseTimes = LeaseTimes(),
     val stage: LeaseStage = LeaseStage.Polling(Instant.DISTANT_PAST),
+    val epoch: Long = 0,
+    val epochSince: Instant = Instant.DISTANT_PAST,
+    val previous: HeldLease? = null,
 ) {
+    private val epochKey: String get() = if (epoch == 0L) key else "$key@$epoch"
+
+    /** Time from which no holder of an earlier epoch can act any more, unless it is this process. */
+    private val earlierEpochsEnd: Instant
+        get() = if (epoch == 0L || previous != null) Instant.DISTANT_PAST else epochSince + times.duration
+
+    /** Returns the claim in [newest], the newest epoch of the store that this process knows at [now]. */
+    fun inEpoch(
+        newest: Long,
+        now: Instant,
+    ): LeaseClaim {
+        if (newest == epoch) return this
+        val entered = copy(epoch = newest, epochSince = now, previous = held(now) ?: previous?.takeIf { it.isHeld(now) })
+        return entered.copy(stage = LeaseStage.Polling(entered.earlierEpochsEnd))
+    }
+
+    /** Returns the claim after the key may have been deleted: it is read as soon as it may be claimed. */
+    fun afterKeyDeleted(now: Instant): LeaseClaim =
+        if (stage is LeaseStage.Polling) copy(stage = LeaseStage.Polling(maxOf(now, earlierEpochsEnd))) else this
+
     /** Returns the lease if this process holds it at [now] by its own clock. */
     fun held(now: Instant): HeldLease? = (stage as? LeaseStage.Holding)?.held?.takeIf { it.isHeld(now) }
 
     /** Returns the call to make at [now], or null if none is due. */
     fun nextCall(now: Instant): StoreCall? =
         when (val stage = stage) {
-            is LeaseStage.Polling -> StoreCall.Read(key).takeIf { now >= stage.at }
+            is LeaseStage.Polling -> StoreCall.Read(epochKey).takeIf { now >= stage.at }
             is LeaseStage.Granting -> StoreCall.GrantLease(times.duration)
             is LeaseStage.Claiming -> StoreCall.Commit(keyCreation(stage.lease))
-            is LeaseStage.Verifying -> StoreCall.Read(key).takeIf { now >= stage.at }
+            is LeaseStage.Verifying -> StoreCall.Read(epochKey).takeIf { now >= stage.at }
             is LeaseStage.Holding -> StoreCall.KeepAlive(stage.held.lease).takeIf { now >= stage.renewAt }
             is LeaseStage.Releasing -> StoreCall.RevokeLease(stage.lease)
         }
@@ -116,7 +151,7 @@
         now: Instant,
     ): LeaseStage =
         LeaseStage.Holding(
-            HeldLease(key, entry.lease, entry.createRevision, until = now, sendFrom = now + times.drift + times.sendTimeout),
+            HeldLease(epochKey, entry.lease, entry.createRevision, now, sendFrom(now), previous?.fencing ?: 0),
             renewAt = now,
         )
 
@@ -177,9 +212,11 @@
         now: Instant,
     ): LeaseStage =
         LeaseStage.Holding(
-            HeldLease(key, lease, fencing, grantedAt + times.duration - times.drift, now + times.drift + times.sendTimeout),
+            HeldLease(epochKey, lease, fencing, grantedAt + times.duration - times.drift, sendFrom(now), previous?.fencing ?: 0),
             grantedAt + times.renewalInterval,
         )
 
-    private fun keyCreation(lease: Long) = Transaction(listOf(Condition.Absent(key)), listOf(Write.Put(key, owner, lease)))
+    private fun sendFrom(now: Instant) = maxOf(now, earlierEpochsEnd) + times.drift + times.sendTimeout
+
+    private fun keyCreation(lease: Long) = Transaction(listOf(Condition.Absent(epochKey)), listOf(Write.Put(epochKey, owner, lease)))
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/store/StoreCalls.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/store/StoreCalls.kt
@@ -66,6 +66,9 @@
     ) : StoreAnswer
 }
 
+/** Returns the revision of the store that this answer shows; null if it shows none. */
+fun StoreAnswer.revision(): Long? = (this as? StoreAnswer.Found)?.read?.revision ?: committedRevision()
+
 /** Returns the revision of the commit that this answer confirms; null if it confirms none. */
 fun StoreAnswer.committedRevision(): Long? = ((this as? StoreAnswer.Transacted)?.result as? TransactionResult.Committed)?.revision
 
--- a/core/src/main/kotlin/org/ragwortlever/core/store/StoreEpochTracker.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/store/StoreEpochTracker.kt
@@ -19,9 +19,14 @@
     /** The newest epoch seen; 0 until a response has named one. */
     val newest: Long get() = highest.get()
 
-    /** Records that a response named [epoch]. */
-    fun observe(epoch: Long) {
+    /**
+     * Records that a response named [epoch], and returns whether no newer epoch is known. Throws [IllegalArgumentException] if
+     * [epoch] is out of range.
+     */
+    fun observe(epoch: Long): Boolean {
+        require(epoch in 0..MAXIMUM_EPOCH) { "epoch $epoch of the store is not between 0 and $MAXIMUM_EPOCH" }
         val before = highest.getAndAccumulate(epoch, ::maxOf)
         if (epoch > before) onChange(before, epoch)
+        return epoch >= before
     }
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/store/StoreTypes.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/store/StoreTypes.kt
@@ -71,7 +71,26 @@
 data class Transaction(
     val conditions: List<Condition>,
     val writes: List<Write>,
-)
+) {
+    /** Revisions and leases that the transaction refers to. All are of one epoch of the store, or the transaction has no effect. */
+    val numbers: List<Long>
+        get() = (conditions.map { it.number } + writes.map { it.number }).filter { it != 0L }
+}
+
+private val Condition.number: Long
+    get() =
+        when (this) {
+            is Condition.Absent -> 0
+            is Condition.ModifiedAt -> revision
+            is Condition.CreatedAt -> revision
+        }
+
+private val Write.number: Long
+    get() =
+        when (this) {
+            is Write.Put -> lease
+            is Write.Delete -> 0
+        }
 
 /** Result of a transaction that the store answered. */
 sealed interface TransactionResult {
--- a/core/src/test/kotlin/org/ragwortlever/core/store/FakeStore.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/store/FakeStore.kt
@@ -4,12 +4,17 @@
 import kotlin.time.Duration
 import kotlin.time.Instant
 
-/** @property leases duration and end of each lease, by id. */
+/**
+ * @property leases duration and end of each lease, by id.
+ * @property lastLease number of the last lease, without its epoch.
+ * @property epoch rises each time the store comes back from an older copy.
+ */
 internal data class FakeStore(
     val revision: Long = 1,
     val entries: Map<String, StoreEntry> = emptyMap(),
     val leases: Map<Long, Pair<Duration, Instant>> = emptyMap(),
     val lastLease: Long = 0,
+    val epoch: Long = 0,
 ) {
     /** Returns the state after removal of the leases that have expired by [now]. */
     fun at(now: Instant): FakeStore = leases.filterValues { it.second <= now }.keys.fold(this) { store, lease -> store.without(lease) }
@@ -21,7 +26,38 @@
     ): Pair<FakeStore, StoreAnswer> = at(now).answer(call, now)
 
     /** Returns the state after the store has come back from [copy], an older state of it; numbers are given out again from there. */
-    fun restored(copy: FakeStore): FakeStore = copy
+    fun restored(copy: FakeStore): FakeStore {
+        val next = epoch + 1
+        return FakeStore(
+            revision = copy.revision.inEpoch(next),
+            entries =
+                copy.entries.mapValues { (_, entry) ->
+                    entry.copy(
+                        createRevision = entry.createRevision.inEpoch(next),
+                        modifyRevision = entry.modifyRevision.inEpoch(next),
+                        lease = entry.lease.inEpoch(next),
+                    )
+                },
+            leases = copy.leases.mapKeys { it.key.inEpoch(next) },
+            lastLease = copy.lastLease,
+            epoch = next,
+        )
+    }
+
+    /**
+     * Returns the state after [call] and the answer, for a client that knows [known] as the newest epoch. The store takes
+     * numbers of an earlier epoch for its own; the client trusts no answer to a call with such numbers.
+     */
+    fun callFrom(
+        known: Long,
+        call: StoreCall,
+        now: Instant,
+    ): Pair<FakeStore, StoreAnswer> {
+        val numbers = call.numbers()
+        if (numbers.any { epochOf(it) != known }) return at(now) to call.answerOfEarlierEpoch(isSent = false)
+        val (after, answer) = call(call.inEpoch(epoch), now)
+        return after to if (numbers.isEmpty() || known == epoch) answer else call.answerOfEarlierEpoch(isSent = true)
+    }
 
     private fun answer(
         call: StoreCall,
@@ -43,8 +79,9 @@
                 }
             }
             is StoreCall.GrantLease -> {
-                copy(leases = leases + (lastLease + 1 to (call.duration to now + call.duration)), lastLease = lastLease + 1) to
-                    StoreAnswer.LeaseGranted(lastLease + 1)
+                val lease = numberInEpoch(epoch, lastLease + 1)
+                copy(leases = leases + (lease to (call.duration to now + call.duration)), lastLease = lastLease + 1) to
+                    StoreAnswer.LeaseGranted(lease)
             }
             is StoreCall.KeepAlive -> {
                 val duration = leases[call.lease]?.first
@@ -82,3 +119,48 @@
             is Condition.CreatedAt -> entries[key]?.createRevision == revision
         }
 }
+
+private fun Long.inEpoch(epoch: Long) = numberInEpoch(epoch, numberInStore(this))
+
+private fun StoreCall.numbers(): List<Long> =
+    when (this) {
+        is StoreCall.Commit -> transaction.numbers
+        is StoreCall.KeepAlive -> listOf(lease)
+        is StoreCall.RevokeLease -> listOf(lease)
+        is StoreCall.Read, is StoreCall.GrantLease -> emptyList()
+    }
+
+private fun StoreCall.answerOfEarlierEpoch(isSent: Boolean): StoreAnswer =
+    when (this) {
+        is StoreCall.KeepAlive -> {
+            StoreAnswer.KeptAlive(false)
+        }
+        is StoreCall.RevokeLease -> {
+            StoreAnswer.LeaseRevoked
+        }
+        else -> {
+            val failed = StoreAnswer.Failed(StoreFailure.NoAnswer("the store has another epoch"))
+            if (isSent) failed else StoreAnswer.Transacted(TransactionResult.ConditionFailed)
+        }
+    }
+
+/** Returns the call with its numbers as the store takes them in [epoch]. */
+internal fun StoreCall.inEpoch(epoch: Long): StoreCall =
+    when (this) {
+        is StoreCall.KeepAlive -> copy(lease = lease.inEpoch(epoch))
+        is StoreCall.RevokeLease -> copy(lease = lease.inEpoch(epoch))
+        is StoreCall.Commit -> StoreCall.Commit(transaction.inEpoch(epoch))
+        is StoreCall.Read, is StoreCall.GrantLease -> this
+    }
+
+private fun Transaction.inEpoch(epoch: Long) =
+    Transaction(
+        conditions.map { condition ->
+            when (condition) {
+                is Condition.Absent -> condition
+                is Condition.ModifiedAt -> condition.copy(revision = condition.revision.inEpoch(epoch))
+                is Condition.CreatedAt -> condition.copy(revision = condition.revision.inEpoch(epoch))
+            }
+        },
+        writes.map { if (it is Write.Put) it.copy(lease = it.lease.inEpoch(epoch)) else it },
+    )
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/RestoreSchedule.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/RestoreSchedule.kt
@@ -64,10 +64,10 @@
     private fun allowed() = simulation.transitions(bounds).filter { it.isAllowed() }
 
     private fun UsageTransition.isAllowed(): Boolean {
-        if (simulation.now >= disturbedUntil || !name.endsWith(" $disturbedReporter") || "flush" in name) return true
+        if (simulation.now >= disturbedUntil || !name.endsWith(" $disturbedReporter") || "flush" in name || "source" in name) return true
         return when (disturbed) {
             HolderFault.FROZEN -> false
-            HolderFault.CUT_OFF -> "lease" !in name && "report" !in name
+            HolderFault.CUT_OFF -> "lease" !in name && "report" !in name && "learn" !in name
             else -> true
         }
     }
@@ -113,7 +113,7 @@
     private fun runWithoutFaults(): String? {
         simulation = simulation.copy(remainingLosses = 0, remainingCounts = 0, lateCalls = emptyList())
         val calm = bounds.copy(end = END, lateCalls = false)
-        val names = listOf("flush", "lease", "report", "arrives", "begin", "learn", "lost")
+        val names = listOf("learn", "flush", "lease", "report", "arrives", "begin", "lost")
         var steps = 0
         while (simulation.now < END) {
             check(++steps < MAXIMUM_STEPS) { "seed $seed does not settle: ${simulation.transitions(calm).map { it.name }}" }
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageSimulation.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageSimulation.kt
@@ -10,6 +10,9 @@
 import org.ragwortlever.core.store.StoreCall
 import org.ragwortlever.core.store.StoreFailure
 import org.ragwortlever.core.store.Write
+import org.ragwortlever.core.store.epochOf
+import org.ragwortlever.core.store.inEpoch
+import org.ragwortlever.core.store.revision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -35,11 +38,16 @@
         UsageMechanism.entries.filter { it.name in System.getProperty("without").orEmpty().split(',') }.toSet(),
 )
 
-/** Process that competes for the lease and reports while it holds it. */
+/**
+ * Process that competes for the lease and reports while it holds it.
+ *
+ * @property epoch newest epoch of the store that the process knows; its claim enters it with the next step.
+ */
 internal data class ReporterProcess(
     val lease: LeaseClaim,
     val reporter: UsageReporter,
     val call: PendingCall? = null,
+    val epoch: Long = 0,
 )
 
 /** Call that was started under the lease with token [fencing] and has no answer yet. */
@@ -118,10 +126,22 @@
 
     private fun leaseTransitions(index: Int): List<UsageTransition> {
         val process = reporters[index]
-        val call = process.lease.nextCall(now) ?: return emptyList()
-        return outcomes("lease $index", call, null) { with(index, process.copy(lease = process.lease.handleAnswer(it, now, now))) }
+        val entered = process.lease.inEpoch(process.epoch, now)
+        val learn =
+            transition("learn reporter $index") {
+                with(index, process.copy(epoch = store.epoch, lease = process.lease.inEpoch(store.epoch, now)))
+            }.takeIf { process.lease.epoch < store.epoch }
+        val call = entered.nextCall(now) ?: return listOfNotNull(learn)
+        return listOfNotNull(learn) +
+            outcomes("lease $index", call, null, process.epoch) { answer ->
+                val isOfEpoch = answer.revision()?.let { epochOf(it) == process.epoch } ?: true
+                with(index, process.learnedFrom(answer).copy(lease = if (isOfEpoch) entered.handleAnswer(answer, now, now) else entered))
+            }
     }
 
+    /** Any answer names the epoch of the store. */
+    private fun ReporterProcess.learnedFrom(answer: StoreAnswer) = if (answer is StoreAnswer.Failed) this else copy(epoch = store.epoch)
+
     private fun reportTransitions(
         index: Int,
         bounds: UsageBounds,
@@ -135,10 +155,14 @@
         }
         val (call, startedAt, fencing) = started
 
-        fun UsageSimulation.take(answer: ReporterAnswer) =
-            with(index, process.copy(call = null, reporter = process.reporter.answered(answer, fencing, now)))
+        fun UsageSimulation.take(
+            answer: ReporterAnswer,
+            known: Long = process.epoch,
+        ) = with(index, process.copy(call = null, reporter = process.reporter.answered(answer, fencing, now), epoch = known))
         if (call is ReporterCall.ToStore) {
-            return outcomes("report $index", call.call.changed(bounds), bounds) { take(ReporterAnswer.FromStore(it)) }
+            return outcomes("report $index", call.call.changed(bounds), bounds, process.epoch) {
+                take(ReporterAnswer.FromStore(it), process.learnedFrom(it).epoch)
+            }
         }
         val lost = transition("lost $index") { copy(remainingLosses = remainingLosses - 1).take(ReporterAnswer.NotReported) }
         if (now > startedAt + bounds.times.sendTimeout) return listOf(lost.copy { take(ReporterAnswer.NotReported) })
@@ -176,7 +200,9 @@
 
     private fun lateTransitions(): List<UsageTransition> =
         lateCalls.indices.map { index ->
-            transition("late call") { copy(store = store.call(lateCalls[index], now).first, lateCalls = lateCalls.drop(index + 1)) }
+            transition("late call") {
+                copy(store = store.call(lateCalls[index].inEpoch(store.epoch), now).first, lateCalls = lateCalls.drop(index + 1))
+            }
         }
 
     private fun sourceTransitions(
@@ -200,7 +226,7 @@
             return listOfNotNull(count, copied, due?.let { transition("flush $index") { with(index, source.copy(flush = it)) } })
         }
         return listOfNotNull(count, copied) +
-            outcomes("flush $index", flush.next().changed(bounds), bounds) { answer ->
+            outcomes("flush $index", flush.next().changed(bounds), bounds, store.epoch) { answer ->
                 val after = flush.answered(answer)
                 val ledger = if (after.isDone) source.ledger.markFlushed(flush, now) else source.ledger
                 with(index, source.copy(ledger = ledger, flush = after.takeUnless { it.isFinished }))
@@ -214,7 +240,7 @@
             val due = copies.bySource.keys.flatMap(copies::flushes).firstOrNull() ?: return emptyList()
             return listOf(transition("flush copy") { copy(copyFlush = due) })
         }
-        return outcomes("flush copy", flush.next().changed(bounds), bounds) { answer ->
+        return outcomes("flush copy", flush.next().changed(bounds), bounds, store.epoch) { answer ->
             val after = flush.answered(answer)
             copy(copies = if (after.isDone) copies.removeFlushed(flush) else copies, copyFlush = after.takeUnless { it.isFinished })
         }
@@ -224,9 +250,10 @@
         name: String,
         call: StoreCall,
         bounds: UsageBounds?,
+        known: Long,
         take: UsageSimulation.(StoreAnswer) -> UsageSimulation,
     ): List<UsageTransition> {
-        val (after, answer) = store.call(call, now)
+        val (after, answer) = store.callFrom(known, call, now)
         val changes = call !is StoreCall.Read
         val failed = StoreAnswer.Failed(StoreFailure.NoAnswer("lost"))
         val unchecked = UsageMechanism.STALE_READ_CHECK in bounds?.without.orEmpty()
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -345,11 +345,11 @@
         }
 
         override fun onKeyRemoved(key: String) {
-            if (key == UsageKeys.LEASE) duties?.handleLeaseKeyDeleted()
+            if (key.startsWith(UsageKeys.LEASE)) duties?.handleLeaseKeyDeleted()
         }
 
         override fun onKeysListed(keys: Set<String>) {
-            if (UsageKeys.LEASE !in keys) duties?.handleLeaseKeyDeleted()
+            if (keys.none { it.startsWith(UsageKeys.LEASE) }) duties?.handleLeaseKeyDeleted()
         }
 
         override fun onCrashReported(record: FleetRecord.CrashReported) =
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/LeaseManager.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/LeaseManager.kt
@@ -4,7 +4,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.ragwortlever.core.lease.HeldLease
 import org.ragwortlever.core.lease.LeaseClaim
-import org.ragwortlever.core.lease.LeaseStage
 import org.ragwortlever.core.log.eventLine
 import org.ragwortlever.daemon.platform.KeyValueStore
 import kotlin.time.Instant
@@ -65,13 +64,25 @@
         val askedAt = now()
         if (isKeyDeleted) {
             isKeyDeleted = false
-            if (claim.stage is LeaseStage.Polling) claim = claim.copy(stage = LeaseStage.Polling(askedAt))
+            claim = claim.afterKeyDeleted(askedAt)
         }
-        val call = claim.nextCall(askedAt) ?: return false
-        claim = claim.handleAnswer(store.execute(call), askedAt, now(), isPreferred())
+        val asking = claim.inEpoch(store.epoch, askedAt).also { claim = it }
+        val call = asking.nextCall(askedAt) ?: return false
+        val answer = store.execute(call)
+        val current = asking.inEpoch(store.epoch, now())
+        // An answer to a call of an earlier epoch tells nothing about the lease of this one.
+        claim = if (current.epoch == asking.epoch) current.handleAnswer(answer, askedAt, now(), isPreferred()) else current
         val fencing = claim.held(now())?.fencing
         if (loggedFencing != fencing) {
-            logger.info { eventLine("role-lease", "key" to claim.key, "fencing" to fencing, "before" to loggedFencing) }
+            logger.info {
+                eventLine(
+                    "role-lease",
+                    "key" to claim.key,
+                    "epoch" to claim.epoch,
+                    "fencing" to fencing,
+                    "before" to loggedFencing,
+                )
+            }
         }
         loggedFencing = fencing
         return true
