--- a/core/src/main/kotlin/org/ragwortlever/core/usage/ReporterStage.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/ReporterStage.kt
@@ -42,6 +42,19 @@
         val first: UsageWindow,
     ) : ReporterStage
 
+    /**
+     * Makes [cursor] the position of the reporter in a new epoch of the store, together with [pending], the sealed window
+     * that it has still to report.
+     *
+     * @property isRemembered whether the position is what this process remembers. Otherwise it is the present time, and the
+     *   windows up to it are never reported: they may have been.
+     */
+    data class RestoreCursor(
+        val cursor: UsageCursor,
+        val pending: SealedWindow?,
+        val isRemembered: Boolean,
+    ) : ReporterStage
+
     /** Reads a window that is sealed but not reported. */
     data class ReadSealed(
         val window: UsageWindow,
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/ReporterStoreCalls.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/ReporterStoreCalls.kt
@@ -21,6 +21,7 @@
     when (this) {
         is ReporterStage.ReadCursor -> StoreCall.Read(UsageKeys.CURSOR)
         is ReporterStage.StartCursor -> start(guard)
+        is ReporterStage.RestoreCursor -> restore(guard, cursorRevision)
         is ReporterStage.ReadSealed -> StoreCall.Read(UsageKeys.sealed(window.name))
         is ReporterStage.ReadClosed -> StoreCall.Read(UsageKeys.closed(window.name))
         is ReporterStage.Close -> close(guard)
@@ -42,6 +43,20 @@
     return StoreCall.Commit(Transaction(conditions, listOf(Write.Put(UsageKeys.CURSOR, UsageCursor(before, before).encode()))))
 }
 
+private fun ReporterStage.RestoreCursor.restore(
+    guard: Condition,
+    cursorRevision: Long,
+): StoreCall {
+    val isUnchanged =
+        if (cursorRevision == 0L) Condition.Absent(UsageKeys.CURSOR) else Condition.ModifiedAt(UsageKeys.CURSOR, cursorRevision)
+    val writes =
+        listOfNotNull(
+            Write.Put(UsageKeys.CURSOR, cursor.encode()),
+            pending?.let { Write.Put(UsageKeys.sealed(it.window), it.encode()) },
+        )
+    return StoreCall.Commit(Transaction(listOf(guard, isUnchanged), writes))
+}
+
 private fun ReporterStage.Close.close(guard: Condition): StoreCall {
     val key = UsageKeys.closed(window.name)
     return StoreCall.Commit(Transaction(listOf(guard, Condition.Absent(key)), listOf(Write.Put(key, window.name))))
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageFlush.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageFlush.kt
@@ -24,6 +24,7 @@
  * @property reported counts of the late part that sealed windows already contain, as read from the store.
  * @property conflicts number of writes so far whose conditions failed.
  * @property closedRevision store revision at which the window was closed; 0 until it is known.
+ * @property epoch epoch of the store that was known when the flush began.
  */
 data class UsageFlush(
     val window: String,
@@ -34,6 +35,7 @@
     val reported: AccountCounts? = null,
     val conflicts: Int = 0,
     val closedRevision: Long = 0,
+    val epoch: Long = 0,
 ) {
     /** Whether no more calls follow. */
     val isFinished: Boolean get() = isDone || stage == FlushStage.FAILED
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
@@ -35,6 +35,8 @@
  * @property parts parts by window.
  * @property flushedSequences sequence of each part that the store has, by window.
  * @property storedRevisions store revision of each part's last write, by window; saves a read before the next write.
+ * @property retention time for which flushed parts are kept after the end of their window, in case the store loses them.
+ * @property epoch epoch of the store to which the flushed sequences and stored revisions belong.
  */
 data class UsageLedger(
     val source: String,
@@ -43,7 +45,13 @@
     val flushedSequences: Map<String, Long> = emptyMap(),
     val windowLength: Duration = UsageWindow.DEFAULT_LENGTH,
     val storedRevisions: Map<String, Long> = emptyMap(),
+    val retention: Duration = Duration.ZERO,
+    val epoch: Long = 0,
 ) {
+    /** Returns the ledger in epoch [newest] of the store, in which all parts that are still kept are flushed again. */
+    fun inEpoch(newest: Long): UsageLedger =
+        if (newest == epoch) this else copy(epoch = newest, flushedSequences = emptyMap(), storedRevisions = emptyMap())
+
     /** Adds [counts] of [account] to the window that contains [now]. */
     fun record(
         account: String,
@@ -68,17 +76,23 @@
             .filter { (window, part) -> part.sequence > (flushedSequences[window] ?: 0) }
             .toSortedMap()
             .map { (window, part) ->
-                UsageFlush(window, source, part, FlushStage.WRITE_OPEN, storedRevision = storedRevisions[window] ?: 0)
+                UsageFlush(window, source, part, FlushStage.WRITE_OPEN, storedRevision = storedRevisions[window] ?: 0, epoch = epoch)
             }
 
-    /** Records that [flush] is done, and removes windows that have ended and are completely flushed. */
+    /**
+     * Records that [flush] is done, and removes windows whose [retention] has ended and that are completely flushed. A flush
+     * that began in an earlier epoch of the store confirms nothing.
+     */
     fun markFlushed(
         flush: UsageFlush,
         now: Instant,
     ): UsageLedger {
+        if (flush.epoch != epoch) return this
         val marked = flushedSequences + (flush.window to maxOf(flush.part.sequence, flushedSequences[flush.window] ?: 0))
         val kept =
-            parts.filter { (window, part) -> UsageWindow.parse(window, windowLength).end > now || part.sequence > (marked[window] ?: 0) }
+            parts.filter { (window, part) ->
+                UsageWindow.parse(window, windowLength).end + retention > now || part.sequence > (marked[window] ?: 0)
+            }
         val written = storedRevisions + (flush.window to flush.storedRevision)
         return copy(parts = kept, flushedSequences = marked.filterKeys { it in kept }, storedRevisions = written.filterKeys { it in kept })
     }
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageRecords.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageRecords.kt
@@ -65,11 +65,17 @@
     }
 }
 
-/** Names of the last sealed and the last reported window; windows are sealed and reported in order. */
+/**
+ * Names of the last sealed and the last reported window; windows are sealed and reported in order.
+ *
+ * @property epoch epoch of the store in which the cursor is known to be complete. In a later epoch the store may have lost
+ *   windows that were sealed and reported after it.
+ */
 @Serializable
 data class UsageCursor(
     val sealed: String,
     val reported: String,
+    val epoch: Long = 0,
 ) {
     fun encode(): String = Json.encodeToString(serializer(), this)
 
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
@@ -5,6 +5,11 @@
  *
  * A window is closed before its parts are read. Flushes are conditional on the absence of the closed key, so parts that
  * are read after the window was closed cannot change any more, and every reporter computes the same totals.
+ *
+ * All of this relies on what the store has acknowledged. A store that comes back from an older copy may have lost the cursor,
+ * seals and parts, so a window could be sealed again with other totals. In a new epoch of the store the reporter therefore
+ * first restores the cursor: from its own memory if it was the reporter until then, else to the present time, which leaves
+ * out windows that the one before it may have reported.
  */
 package org.ragwortlever.core.usage
 
@@ -15,11 +20,24 @@
 import org.ragwortlever.core.store.StoreEntry
 import org.ragwortlever.core.store.StoreRead
 import org.ragwortlever.core.store.committedRevision
+import org.ragwortlever.core.store.epochOf
 import org.ragwortlever.core.store.readSince
+import org.ragwortlever.core.store.revision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
+/**
+ * What the reporter under the lease with token [fencing] knew of the windows when that lease ended.
+ *
+ * @property pending the window that is sealed and perhaps reported, if the reporter had read it.
+ */
+data class ReporterMemory(
+    val fencing: Long,
+    val cursor: UsageCursor,
+    val pending: SealedWindow?,
+)
+
 /**
  * State of the reporter in one process; immutable.
  *
@@ -28,7 +46,11 @@
  * @property fencing fencing token of the lease that this state belongs to; 0 without a lease.
  * @property leaseHeldSince when this node got the lease.
  * @property notBefore earliest time of the next call.
- * @property cursorRevision store revision of the cursor's last change.
+ * @property cursorRevision store revision of the cursor's last change; 0 if the store has no cursor.
+ * @property pending the last window that this reporter has sealed or read as sealed.
+ * @property memory what this process knew under an earlier lease. Under a lease that continues that one, nobody else has
+ *   reported since.
+ * @property partsCompleteFrom time from which the nodes have had time to write their parts again in a new epoch of the store.
  */
 data class UsageReporter(
     val times: LeaseTimes = LeaseTimes(),
@@ -40,14 +62,34 @@
     val cursor: UsageCursor? = null,
     val cursorRevision: Long = 0,
     val windowLength: Duration = UsageWindow.DEFAULT_LENGTH,
+    val pending: SealedWindow? = null,
+    val memory: ReporterMemory? = null,
+    val partsCompleteFrom: Instant = Instant.DISTANT_PAST,
 ) {
+    private val epoch: Long get() = epochOf(fencing)
+
     /** Returns this state if [lease] is still the lease that it belongs to, and an initial state for [lease] otherwise. */
     fun underLease(
         lease: HeldLease?,
         now: Instant,
     ): UsageReporter {
         val number = lease?.fencing ?: 0
-        return if (number == fencing) this else UsageReporter(times, gracePeriod, number, now, windowLength = windowLength)
+        if (number == fencing) return this
+        val remembered = currentMemory()?.takeIf { lease == null || it.fencing == lease.continues }
+        return UsageReporter(
+            times,
+            gracePeriod,
+            number,
+            now,
+            windowLength = windowLength,
+            memory = if (lease == null) remembered else remembered?.copy(fencing = number),
+        )
+    }
+
+    /** A cursor of an earlier epoch is no knowledge of this process: the store may have lost later ones. */
+    private fun currentMemory(): ReporterMemory? {
+        val known = cursor?.takeIf { fencing != 0L && it.epoch == epoch } ?: return memory
+        return ReporterMemory(fencing, known, pending?.takeIf { it.window == known.sealed })
     }
 
     /** Returns the call to make now under [lease], or null if none is due yet. */
@@ -58,7 +100,8 @@
         if (lease.fencing != fencing || !lease.isInCharge(now) || now < notBefore) return null
         val stage = stage
         // After a store outage, nodes need the grace period for their flushes as well.
-        if (stage is ReporterStage.ReadClosed && now < maxOf(stage.window.end, leaseHeldSince) + gracePeriod) return null
+        val partsFrom = maxOf(leaseHeldSince, partsCompleteFrom)
+        if (stage is ReporterStage.ReadClosed && now < maxOf(stage.window.end, partsFrom) + gracePeriod) return null
         if (stage is ReporterStage.Report) return ReporterCall.Report(stage.sealed).takeIf { lease.isSafeToSend(now, times) }
         return ReporterCall.ToStore(stage.storeCall(Condition.CreatedAt(lease.key, fencing), cursor, cursorRevision))
     }
@@ -82,24 +125,89 @@
             }
         }
         val fromStore = (answer as? ReporterAnswer.FromStore)?.answer ?: return restartFromCursor(now)
+        // The lease ended with its epoch, and what the store shows now may be older than what is known.
+        if (fromStore.revision()?.let { epochOf(it) != epoch } == true) return restartFromCursor(now)
         if (stage is ReporterStage.ReadCursor) return afterCursorRead(fromStore, now)
-        return afterStore(stage, fromStore)?.let(::advanceTo) ?: restartFromCursor(now)
+        val next = afterStore(stage, fromStore) ?: return restartFromCursor(now)
+        return copy(pending = sealedBy(stage, next) ?: pending).advanceTo(next)
     }
 
+    private fun sealedBy(
+        stage: ReporterStage,
+        next: ReporterStage,
+    ): SealedWindow? =
+        when {
+            stage is ReporterStage.Seal -> stage.draft
+            next is ReporterStage.Report -> next.sealed
+            else -> null
+        }
+
     private fun afterCursorRead(
         answer: StoreAnswer,
         now: Instant,
     ): UsageReporter {
         val entry = (answer.readSince(fencing) ?: return restartFromCursor(now)).entries.firstOrNull()
-        if (entry == null) return advanceTo(ReporterStage.StartCursor(UsageWindow.containing(now - windowLength, windowLength)))
-        val read = UsageCursor.decode(entry.value)
+        val read = entry?.let { UsageCursor.decode(it.value) }
+        val revision = entry?.modifyRevision ?: 0
+        if ((read?.epoch ?: 0) < epoch) return beforeRestore(read, revision, now)
+        if (read == null) return advanceTo(ReporterStage.StartCursor(UsageWindow.containing(now - windowLength, windowLength)))
         val stage =
             if (read.reported != read.sealed) {
                 ReporterStage.ReadSealed(UsageWindow.parse(read.reported, windowLength).next())
             } else {
                 ReporterStage.ReadClosed(UsageWindow.parse(read.sealed, windowLength).next())
             }
-        return copy(cursor = read, cursorRevision = entry.modifyRevision, stage = stage)
+        return copy(cursor = read, cursorRevision = revision, stage = stage)
+    }
+
+    /**
+     * Continues with the cursor [read] of an earlier epoch. Without a memory, a window that is sealed in the store is reported
+     * first: it was only ever sealed with these totals.
+     */
+    private fun beforeRestore(
+        read: UsageCursor?,
+        revision: Long,
+        now: Instant,
+    ): UsageReporter {
+        val known = copy(cursor = read, cursorRevision = revision, partsCompleteFrom = leaseHeldSince + times.duration)
+        val remembered = memory
+        return when {
+            remembered != null -> {
+                val restored = rememberedCursor(remembered.cursor, read)
+                val pending = remembered.pending?.takeIf { it.window == restored.sealed }
+                known.advanceTo(ReporterStage.RestoreCursor(restored, pending, isRemembered = true))
+            }
+            read != null && read.reported != read.sealed -> {
+                known.advanceTo(ReporterStage.ReadSealed(UsageWindow.parse(read.reported, windowLength).next()))
+            }
+            else -> {
+                known.advanceTo(ReporterStage.RestoreCursor(presentCursor(read, now), pending = null, isRemembered = false))
+            }
+        }
+    }
+
+    /** The store may have more than this process remembers, if an answer was lost before the store came back. */
+    private fun rememberedCursor(
+        remembered: UsageCursor,
+        read: UsageCursor?,
+    ): UsageCursor {
+        if (read == null) return remembered.copy(epoch = epoch)
+        return UsageCursor(laterOf(remembered.sealed, read.sealed), laterOf(remembered.reported, read.reported), epoch)
+    }
+
+    private fun laterOf(
+        first: String,
+        second: String,
+    ) = listOf(first, second).maxBy { UsageWindow.parse(it, windowLength).start }
+
+    /** Returns a cursor from which the window that contains [now] is the next one, or the window after [read] if that is later. */
+    private fun presentCursor(
+        read: UsageCursor?,
+        now: Instant,
+    ): UsageCursor {
+        val present = UsageWindow.containing(now - windowLength, windowLength).name
+        val last = if (read == null) present else laterOf(present, read.sealed)
+        return UsageCursor(last, last, epoch)
     }
 
     /** Returns the stage after [answer], or null to restart from the cursor. */
@@ -109,7 +217,7 @@
     ): ReporterStage? =
         when (stage) {
             is ReporterStage.ReadSealed -> {
-                answer.readSince(cursorRevision)?.entries?.firstOrNull()?.let { ReporterStage.Report(SealedWindow.decode(it.value)) }
+                answer.readSince(cursorRevision)?.let { afterSealedRead(stage.window, it) }
             }
             is ReporterStage.ReadClosed -> {
                 answer.readSince(cursorRevision)?.let { afterClosed(stage.window, it) }
@@ -128,13 +236,22 @@
             is ReporterStage.ReadFinalPart -> {
                 afterFinalPartRead(stage, answer)
             }
-            is ReporterStage.Seal, is ReporterStage.MarkReported, is ReporterStage.StartCursor, is ReporterStage.ReadCursor,
-            is ReporterStage.Report,
+            is ReporterStage.Seal, is ReporterStage.MarkReported, is ReporterStage.StartCursor, is ReporterStage.RestoreCursor,
+            is ReporterStage.ReadCursor, is ReporterStage.Report,
             -> {
                 answer.committedRevision()?.let { ReporterStage.ReadCursor }
             }
         }
 
+    /** The store may have lost the totals of a sealed window. It may have been reported with them, so it is not reported again. */
+    private fun afterSealedRead(
+        window: UsageWindow,
+        read: StoreRead,
+    ): ReporterStage {
+        val sealed = read.entries.firstOrNull() ?: return ReporterStage.MarkReported(window)
+        return ReporterStage.Report(SealedWindow.decode(sealed.value))
+    }
+
     private fun afterClosed(
         window: UsageWindow,
         read: StoreRead,
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/RestoreSchedule.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/RestoreSchedule.kt
@@ -45,7 +45,9 @@
     private val copies = ArrayList<Pair<Instant, FakeStore>>()
     private val counted = HashMap<String, Long>()
     private var simulation =
-        UsageSimulation.start(bounds, at(0), sources = 2, remainingCounts = COUNTS, remainingLosses = LOSSES)
+        UsageSimulation.start(bounds, at(0), sources = 2, remainingCounts = COUNTS, remainingLosses = LOSSES).let { start ->
+            start.copy(sources = start.sources.map { it.copy(ledger = it.ledger.copy(retention = RETENTION)) })
+        }
     private var disturbed = HolderFault.NONE
     private var disturbedReporter = 0
     private var disturbedUntil = at(0)
@@ -147,6 +149,7 @@
         val TICK: Duration = 5.seconds
         val FAULTS_END = at(600)
         val END = at(1200)
+        val RETENTION = 240.seconds
         const val COUNTS = 60
         const val LOSSES = 6
         const val MAXIMUM_STEPS = 50_000
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageRestoreKnownRed.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageRestoreTest.kt
@@ -4,7 +4,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 
-class UsageRestoreKnownRed {
+class UsageRestoreTest {
     // Guards against a window that is sealed and reported a second time after the store has lost its seal.
     @Test
     fun `given a store that comes back from an older copy, when windows are reported, then no window is reported with two counts`() {
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageSimulation.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageSimulation.kt
@@ -220,13 +220,17 @@
             source.ledger.copySince(copies.bySource[source.ledger.source]?.values?.maxOfOrNull { it.sequence } ?: 0)?.let { copy ->
                 transition("copy") { copy(copies = copies.merge(copy)) }
             }
+        val learn =
+            transition("learn source $index") {
+                with(index, source.copy(ledger = source.ledger.inEpoch(store.epoch)))
+            }.takeIf { source.ledger.epoch < store.epoch }
         val flush = source.flush
         if (flush == null) {
             val due = source.ledger.dueFlushes().firstOrNull()
-            return listOfNotNull(count, copied, due?.let { transition("flush $index") { with(index, source.copy(flush = it)) } })
+            return listOfNotNull(count, copied, learn, due?.let { transition("flush $index") { with(index, source.copy(flush = it)) } })
         }
-        return listOfNotNull(count, copied) +
-            outcomes("flush $index", flush.next().changed(bounds), bounds, store.epoch) { answer ->
+        return listOfNotNull(count, copied, learn) +
+            outcomes("flush $index", flush.next().changed(bounds), bounds, source.ledger.epoch) { answer ->
                 val after = flush.answered(answer)
                 val ledger = if (after.isDone) source.ledger.markFlushed(flush, now) else source.ledger
                 with(index, source.copy(ledger = ledger, flush = after.takeUnless { it.isFinished }))
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -67,7 +67,8 @@
             now = clock::now,
             source = source,
             nextFlush = { nextFlushTime(it, bounds) },
-            times = UsageTimes(bounds.usageWindowSeconds.seconds, usageGrace(bounds), times, USAGE_PAUSE),
+            times =
+                UsageTimes(bounds.usageWindowSeconds.seconds, usageGrace(bounds), times, USAGE_PAUSE, bounds.usageDueSeconds.seconds),
             isOpenWindowFlushed = { flushPeriod() < bounds.usageWindowSeconds.seconds },
             handOver = handOver,
             reportSender = ports.createReportSender(sender, bounds.usageWindowSeconds),
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageReporterLog.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageReporterLog.kt
@@ -10,6 +10,7 @@
 import org.ragwortlever.core.usage.SealedWindow
 import org.ragwortlever.core.usage.UsageCursor
 import org.ragwortlever.core.usage.UsageReporter
+import org.ragwortlever.core.usage.UsageWindow
 import kotlin.time.Instant
 
 /** Confined to the reporter's thread. */
@@ -26,6 +27,8 @@
         when (val stage = before.stage) {
             is ReporterStage.Seal -> recordSeal(stage.draft, before.fencing, fromStore)
             is ReporterStage.ReadCursor -> if (fromStore is StoreAnswer.Found) recordCursor(after)
+            is ReporterStage.RestoreCursor -> recordRestore(stage, fromStore)
+            is ReporterStage.ReadSealed -> if (after.stage is ReporterStage.MarkReported) recordLoss(stage.window)
             else -> Unit
         }
     }
@@ -63,6 +66,22 @@
         )
     }
 
+    private fun recordRestore(
+        stage: ReporterStage.RestoreCursor,
+        answer: StoreAnswer,
+    ) = logger.info {
+        eventLine(
+            "usage-cursor-restored",
+            "epoch" to stage.cursor.epoch,
+            "sealed" to stage.cursor.sealed,
+            "reported" to stage.cursor.reported,
+            "remembered" to stage.isRemembered,
+            "revision" to answer.committedRevision(),
+        )
+    }
+
+    private fun recordLoss(window: UsageWindow) = logger.warn { eventLine("usage-window-left-out", "window" to window.name) }
+
     /** The cursor never goes back in a store that keeps what it has acknowledged. */
     private fun recordCursor(after: UsageReporter) {
         val newest = newestCursor
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
@@ -39,12 +39,14 @@
  * @property grace time after the end of a window in which nodes flush their counts before the window is closed.
  * @property lease times of the lease of the usage role.
  * @property pause time between two checks whether a flush or a report is due.
+ * @property retention time for which counts are kept after their window, in case the store loses what it has acknowledged.
  */
 internal data class UsageTimes(
     val windowLength: Duration = UsageWindow.DEFAULT_LENGTH,
     val grace: Duration = 30.seconds,
     val lease: LeaseTimes = LeaseTimes(),
     val pause: Duration = RoleThread.DEFAULT_PAUSE,
+    val retention: Duration = Duration.ZERO,
 )
 
 /**
@@ -66,7 +68,7 @@
     private val handOver: (UsageFlush) -> UsageFlush? = { null },
     private val reportSender: UsageReportSender,
 ) : AutoCloseable {
-    private val ledger = AtomicReference(UsageLedger(source, windowLength = times.windowLength))
+    private val ledger = AtomicReference(UsageLedger(source, windowLength = times.windowLength, retention = times.retention))
     private val copies = AtomicReference(UsageCopies())
     private val deadSources = ConcurrentLinkedQueue<String>()
     private val flushThread = RoleThread("usage-flush", times.pause, ::flushIfDue)
@@ -117,16 +119,23 @@
     override fun close() {
         reportThread.close()
         flushThread.close()
+        enterEpoch()
         flushAll(ledger.get().dueFlushes())
     }
 
     private fun flushIfDue(): Boolean {
-        if (now() < flushAt) return false
+        if (!enterEpoch() && now() < flushAt) return false
         flushAt = nextFlush(now())
         flush()
         return true
     }
 
+    /** Has the kept counts flushed again if the store has a new epoch, and returns whether it has. */
+    private fun enterEpoch(): Boolean {
+        val epoch = store.epoch
+        return ledger.getAndUpdate { it.inEpoch(epoch) }.epoch != epoch
+    }
+
     /** Writes this node's due counts and the copied counts of failed nodes to the store. */
     fun flush() {
         val open = UsageWindow.containing(now(), times.windowLength).name
