--- a/core/src/test/kotlin/org/ragwortlever/core/lease/LeaseClaimTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/lease/LeaseClaimTest.kt
@@ -117,6 +117,62 @@
         expectThat(holder.held(now)).isNotNull()
     }
 
+    // Guards against a role without a holder after each restore, and against a position that is given up without need.
+    @Test
+    fun `given a holder, when it learns of restores, then it claims at once each time and continues its last lease`() {
+        claim("b").makeCalls()
+        // The copy is older than the holder's lease, and the lease in it does not end soon.
+        val copy = store.copy(leases = store.leases.mapValues { (_, lease) -> lease.first to lease.second + 1.minutes })
+        now += times.duration
+        var before = claim("a").makeCalls()
+        for (restores in listOf(1, 1, 2)) {
+            repeat(restores) { store = store.restored(copy) }
+            val token = before.held(now)!!.fencing
+            val entered = (before.epoch + 1..store.epoch).fold(before) { claim, epoch -> claim.inEpoch(epoch, now) }
+            val after = entered.makeCalls()
+            expectThat(after.held(now)).isNotNull().and {
+                get { continues }.isEqualTo(token)
+                get { fencing }.isGreaterThan(token)
+                get { sendFrom }.isEqualTo(now + times.drift + times.sendTimeout)
+            }
+            before = after
+        }
+    }
+
+    // Guards against two holders: the one before may not have learned of the restore, and its key may be gone or in the copy.
+    @Test
+    fun `given a restore, when another process learns of it, then it claims only when the lease before must have ended`() {
+        val holder = claim("a").makeCalls()
+        for (copy in listOf(store, FakeStore())) {
+            store = store.restored(copy)
+            val learnedAt = now
+            val waiting = claim("b").inEpoch(store.epoch, now).afterKeyDeleted(now)
+            now += times.duration - 1.milliseconds
+            expectThat(waiting.afterKeyDeleted(now).nextCall(now)).isNull()
+            now += 1.milliseconds
+            expectThat(waiting.afterKeyDeleted(now).makeCalls().held(now)).isNotNull().and {
+                get { continues }.isEqualTo(0)
+                get { sendFrom }.isEqualTo(learnedAt + times.duration + times.drift + times.sendTimeout)
+            }
+        }
+        expectThat(holder.held(now)).isNull()
+    }
+
+    // Guards against a process that takes its position up again after another has acted in the role.
+    @Test
+    fun `given a holder whose lease had ended when it learned of a restore, when it claims, then it waits and continues nothing`() {
+        val before = claim("a").makeCalls()
+        val entered = before.inEpoch(1, now)
+        now += times.duration
+        for (late in listOf(before.inEpoch(1, now), entered.inEpoch(2, now))) {
+            expectThat(late.previous).isNull()
+            expectThat(late.nextCall(now + times.duration - 1.milliseconds)).isNull()
+            expectThat(late.nextCall(now + times.duration)).isNotNull()
+        }
+    }
+
+    private fun LeaseClaim.makeCalls() = makeNextCall().makeNextCall().makeNextCall()
+
     private fun claim(
         owner: String,
         key: String = "k",
