--- a/core/src/main/kotlin/org/ragwortlever/core/lease/LeaseClaim.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/lease/LeaseClaim.kt
@@ -151,7 +151,7 @@
         now: Instant,
     ): LeaseStage =
         LeaseStage.Holding(
-            HeldLease(epochKey, entry.lease, entry.createRevision, now, sendFrom(now), previous?.fencing ?: 0),
+            HeldLease(epochKey, entry.lease, entry.createRevision, now, sendFrom(now), continuedAt(now)),
             renewAt = now,
         )
 
@@ -212,10 +212,19 @@
         now: Instant,
     ): LeaseStage =
         LeaseStage.Holding(
-            HeldLease(epochKey, lease, fencing, grantedAt + times.duration - times.drift, sendFrom(now), previous?.fencing ?: 0),
+            HeldLease(epochKey, lease, fencing, grantedAt + times.duration - times.drift, sendFrom(now), continuedAt(now)),
             grantedAt + times.renewalInterval,
         )
 
+    /**
+     * Returns the fencing token that a lease which is claimed at [now] continues. From the end of the previous lease by the
+     * store's clock another process may have claimed the role, and from [sendFrom] of its lease on it may have acted.
+     */
+    private fun continuedAt(now: Instant): Long {
+        val last = previous ?: return 0
+        return if (now < last.until + times.drift * 2 + times.sendTimeout) last.fencing else 0
+    }
+
     private fun sendFrom(now: Instant) = maxOf(now, earlierEpochsEnd) + times.drift + times.sendTimeout
 
     private fun keyCreation(lease: Long) = Transaction(listOf(Condition.Absent(epochKey)), listOf(Write.Put(epochKey, owner, lease)))
--- a/core/src/test/kotlin/org/ragwortlever/core/lease/LeaseClaimTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/lease/LeaseClaimTest.kt
@@ -171,6 +171,17 @@
         }
     }
 
+    // Guards against a process that learned of a restore in time, and takes its position up again after another has acted.
+    @Test
+    fun `given a holder that learned of a restore in time, when another has held the lease since, then its claim continues nothing`() {
+        val holder = claim("a").makeCalls()
+        store = store.restored(store)
+        val (entered, waiting) = listOf(holder.inEpoch(1, now), claim("b").inEpoch(1, now))
+        now += times.duration + 1.seconds
+        waiting.makeCalls().also { now = it.held(now)!!.sendFrom }.release().makeNextCall()
+        expectThat(entered.makeCalls().held(now)).isNotNull().get { continues }.isEqualTo(0)
+    }
+
     private fun LeaseClaim.makeCalls() = makeNextCall().makeNextCall().makeNextCall()
 
     private fun claim(
