--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageFlush.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageFlush.kt
@@ -20,11 +20,11 @@
  * Flush of [part], the counts of [source] in [window]. A closed window accepts no more parts, so counts that arrive
  * later are written as a late part, which the reporter turns into a correction.
  *
- * @property storedRevision store revision of the part; 0 if the store has none.
+ * @property storedRevision store revision of the part; 0 if the store has none. Once the flush is done, that of the entry that
+ *   holds the counts.
  * @property reported counts of the late part that sealed windows already contain, as read from the store.
  * @property conflicts number of writes so far whose conditions failed.
  * @property closedRevision store revision at which the window was closed; 0 until it is known.
- * @property epoch epoch of the store that was known when the flush began.
  */
 data class UsageFlush(
     val window: String,
@@ -35,7 +35,6 @@
     val reported: AccountCounts? = null,
     val conflicts: Int = 0,
     val closedRevision: Long = 0,
-    val epoch: Long = 0,
 ) {
     /** Whether no more calls follow. */
     val isFinished: Boolean get() = isDone || stage == FlushStage.FAILED
@@ -74,7 +73,7 @@
         if (answer !is StoreAnswer.Found) return copy(stage = FlushStage.FAILED)
         val entry = answer.read.entries.firstOrNull() ?: return copy(stage = write, storedRevision = 0, reported = null)
         val stored = UsagePart.decode(entry.value)
-        if (stored.sequence >= part.sequence) return copy(stage = FlushStage.DONE)
+        if (stored.sequence >= part.sequence) return copy(stage = FlushStage.DONE, storedRevision = entry.modifyRevision)
         return copy(stage = write, storedRevision = entry.modifyRevision, reported = stored.reported)
     }
 
@@ -92,8 +91,9 @@
      */
     private fun afterFinal(answer: StoreAnswer): UsageFlush {
         val read = answer.readSince(closedRevision) ?: return copy(stage = FlushStage.FAILED)
-        val final = read.entries.firstOrNull()?.let { UsagePart.decode(it.value) }
-        return copy(stage = if (final != null && final.sequence >= part.sequence) FlushStage.DONE else FlushStage.READ_LATE)
+        val final = read.entries.firstOrNull()
+        val isStored = final != null && UsagePart.decode(final.value).sequence >= part.sequence
+        return if (isStored) copy(stage = FlushStage.DONE, storedRevision = final.modifyRevision) else copy(stage = FlushStage.READ_LATE)
     }
 
     /** A failed condition means that the window was closed or another writer changed the part, so both are read again. */
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
@@ -2,6 +2,7 @@
 package org.ragwortlever.core.usage
 
 import kotlinx.serialization.Serializable
+import org.ragwortlever.core.store.epochOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -76,18 +77,18 @@
             .filter { (window, part) -> part.sequence > (flushedSequences[window] ?: 0) }
             .toSortedMap()
             .map { (window, part) ->
-                UsageFlush(window, source, part, FlushStage.WRITE_OPEN, storedRevision = storedRevisions[window] ?: 0, epoch = epoch)
+                UsageFlush(window, source, part, FlushStage.WRITE_OPEN, storedRevision = storedRevisions[window] ?: 0)
             }
 
     /**
-     * Records that [flush] is done, and removes windows whose [retention] has ended and that are completely flushed. A flush
-     * that began in an earlier epoch of the store confirms nothing.
+     * Records that [flush] is done, and removes windows whose [retention] has ended and that are completely flushed. What the
+     * store had in another epoch confirms nothing.
      */
     fun markFlushed(
         flush: UsageFlush,
         now: Instant,
     ): UsageLedger {
-        if (flush.epoch != epoch) return this
+        if (epochOf(flush.storedRevision) != epoch) return this
         val marked = flushedSequences + (flush.window to maxOf(flush.part.sequence, flushedSequences[flush.window] ?: 0))
         val kept =
             parts.filter { (window, part) ->
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageReporterRestoreTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageReporterRestoreTest.kt
@@ -6,6 +6,7 @@
 import org.ragwortlever.core.store.StoreCall
 import org.ragwortlever.core.store.Transaction
 import org.ragwortlever.core.store.Write
+import org.ragwortlever.core.store.numberInEpoch
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -128,11 +129,13 @@
         val flush = counted.dueFlushes().single().copy(storedRevision = 8)
         val flushed = counted.markFlushed(flush, end + 59.seconds)
         expectThat(flushed.dueFlushes()).isEmpty()
-        val again = flush.copy(storedRevision = 0, epoch = 1)
+        val again = flush.copy(storedRevision = 0)
+        val writtenAgain = flush.copy(storedRevision = numberInEpoch(1, 8))
         expectThat(flushed.inEpoch(1).dueFlushes()).isEqualTo(listOf(again))
-        // The flush began before the restore, so the store may have lost it.
+        // What the store had before the restore may be lost, and a ledger that does not know of the restore keeps its counts.
         expectThat(flushed.inEpoch(1).markFlushed(flush, end).dueFlushes()).isEqualTo(listOf(again))
-        expectThat(flushed.inEpoch(1).markFlushed(again, end + 1.minutes).parts).isEqualTo(emptyMap())
+        expectThat(counted.markFlushed(writtenAgain, end + 1.minutes)).isEqualTo(counted)
+        expectThat(flushed.inEpoch(1).markFlushed(writtenAgain, end + 1.minutes).parts).isEqualTo(emptyMap())
     }
 
     /** Gives the reporter a lease of the store's present epoch; [continues] is the token of the lease before. */
