--- a/core/src/main/kotlin/org/ragwortlever/core/usage/ReporterStage.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/ReporterStage.kt
@@ -46,8 +46,8 @@
      * Makes [cursor] the position of the reporter in a new epoch of the store, together with [pending], the sealed window
      * that it has still to report.
      *
-     * @property isRemembered whether the position is what this process remembers. Otherwise it is the present time, and the
-     *   windows up to it are never reported: they may have been.
+     * @property isRemembered whether the position is what this process remembers. Otherwise it is the time at which the process
+     *   learned of the epoch, and the windows up to it are never reported: they may have been.
      */
     data class RestoreCursor(
         val cursor: UsageCursor,
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
@@ -8,8 +8,8 @@
  *
  * All of this relies on what the store has acknowledged. A store that comes back from an older copy may have lost the cursor,
  * seals and parts, so a window could be sealed again with other totals. In a new epoch of the store the reporter therefore
- * first restores the cursor: from its own memory if it was the reporter until then, else to the present time, which leaves
- * out windows that the one before it may have reported.
+ * first restores the cursor: from its own memory if it was the reporter until then, else to the time at which it learned of the
+ * epoch, which leaves out windows that the one before it may have reported.
  */
 package org.ragwortlever.core.usage
 
@@ -50,7 +50,8 @@
  * @property pending the last window that this reporter has sealed or read as sealed.
  * @property memory what this process knew under an earlier lease. Under a lease that continues that one, nobody else has
  *   reported since.
- * @property partsCompleteFrom time from which the nodes have had time to write their parts again in a new epoch of the store.
+ * @property knownEpoch newest epoch of the store that this process knows.
+ * @property epochSince when this process learned of [knownEpoch]; the store came back at that time or earlier.
  */
 data class UsageReporter(
     val times: LeaseTimes = LeaseTimes(),
@@ -64,10 +65,17 @@
     val windowLength: Duration = UsageWindow.DEFAULT_LENGTH,
     val pending: SealedWindow? = null,
     val memory: ReporterMemory? = null,
-    val partsCompleteFrom: Instant = Instant.DISTANT_PAST,
+    val knownEpoch: Long = 0,
+    val epochSince: Instant = Instant.DISTANT_PAST,
 ) {
     private val epoch: Long get() = epochOf(fencing)
 
+    /** Returns this state after the process has learned that [newest] is the newest epoch of the store. */
+    fun inEpoch(
+        newest: Long,
+        now: Instant,
+    ): UsageReporter = if (newest == knownEpoch) this else copy(knownEpoch = newest, epochSince = now)
+
     /** Returns this state if [lease] is still the lease that it belongs to, and an initial state for [lease] otherwise. */
     fun underLease(
         lease: HeldLease?,
@@ -83,6 +91,8 @@
             now,
             windowLength = windowLength,
             memory = if (lease == null) remembered else remembered?.copy(fencing = number),
+            knownEpoch = knownEpoch,
+            epochSince = epochSince,
         )
     }
 
@@ -92,17 +102,23 @@
         return ReporterMemory(fencing, known, pending?.takeIf { it.window == known.sealed })
     }
 
-    /** Returns the call to make now under [lease], or null if none is due yet. */
+    /**
+     * Returns the call to make at [now] under [lease], or null if none is due yet.
+     *
+     * @param leaseTime the same moment by the clock of the lease.
+     */
     fun next(
         lease: HeldLease,
         now: Instant,
+        leaseTime: Instant = now,
     ): ReporterCall? {
-        if (lease.fencing != fencing || !lease.isInCharge(now) || now < notBefore) return null
+        if (lease.fencing != fencing || !lease.isInCharge(leaseTime) || now < notBefore) return null
         val stage = stage
-        // After a store outage, nodes need the grace period for their flushes as well.
-        val partsFrom = maxOf(leaseHeldSince, partsCompleteFrom)
+        // After an outage of the store, nodes need the grace period for their flushes as well, and in a new epoch of the store
+        // they first have to learn of it.
+        val partsFrom = maxOf(leaseHeldSince, epochSince + times.duration)
         if (stage is ReporterStage.ReadClosed && now < maxOf(stage.window.end, partsFrom) + gracePeriod) return null
-        if (stage is ReporterStage.Report) return ReporterCall.Report(stage.sealed).takeIf { lease.isSafeToSend(now, times) }
+        if (stage is ReporterStage.Report) return ReporterCall.Report(stage.sealed).takeIf { lease.isSafeToSend(leaseTime, times) }
         return ReporterCall.ToStore(stage.storeCall(Condition.CreatedAt(lease.key, fencing), cursor, cursorRevision))
     }
 
@@ -138,6 +154,7 @@
     ): SealedWindow? =
         when {
             stage is ReporterStage.Seal -> stage.draft
+            stage is ReporterStage.RestoreCursor -> stage.pending
             next is ReporterStage.Report -> next.sealed
             else -> null
         }
@@ -149,7 +166,7 @@
         val entry = (answer.readSince(fencing) ?: return restartFromCursor(now)).entries.firstOrNull()
         val read = entry?.let { UsageCursor.decode(it.value) }
         val revision = entry?.modifyRevision ?: 0
-        if ((read?.epoch ?: 0) < epoch) return beforeRestore(read, revision, now)
+        if ((read?.epoch ?: 0) < epoch) return beforeRestore(read, revision)
         if (read == null) return advanceTo(ReporterStage.StartCursor(UsageWindow.containing(now - windowLength, windowLength)))
         val stage =
             if (read.reported != read.sealed) {
@@ -162,14 +179,14 @@
 
     /**
      * Continues with the cursor [read] of an earlier epoch. Without a memory, a window that is sealed in the store is reported
-     * first: it was only ever sealed with these totals.
+     * first, if the cursor is of the last epoch: it was only ever sealed with these totals. In a copy from an epoch before that
+     * one it may have been sealed again meanwhile.
      */
     private fun beforeRestore(
         read: UsageCursor?,
         revision: Long,
-        now: Instant,
     ): UsageReporter {
-        val known = copy(cursor = read, cursorRevision = revision, partsCompleteFrom = leaseHeldSince + times.duration)
+        val known = copy(cursor = read, cursorRevision = revision)
         val remembered = memory
         return when {
             remembered != null -> {
@@ -177,11 +194,11 @@
                 val pending = remembered.pending?.takeIf { it.window == restored.sealed }
                 known.advanceTo(ReporterStage.RestoreCursor(restored, pending, isRemembered = true))
             }
-            read != null && read.reported != read.sealed -> {
+            read != null && read.epoch == epoch - 1 && read.reported != read.sealed -> {
                 known.advanceTo(ReporterStage.ReadSealed(UsageWindow.parse(read.reported, windowLength).next()))
             }
             else -> {
-                known.advanceTo(ReporterStage.RestoreCursor(presentCursor(read, now), pending = null, isRemembered = false))
+                known.advanceTo(ReporterStage.RestoreCursor(cursorAtRestore(read), pending = null, isRemembered = false))
             }
         }
     }
@@ -200,13 +217,13 @@
         second: String,
     ) = listOf(first, second).maxBy { UsageWindow.parse(it, windowLength).start }
 
-    /** Returns a cursor from which the window that contains [now] is the next one, or the window after [read] if that is later. */
-    private fun presentCursor(
-        read: UsageCursor?,
-        now: Instant,
-    ): UsageCursor {
-        val present = UsageWindow.containing(now - windowLength, windowLength).name
-        val last = if (read == null) present else laterOf(present, read.sealed)
+    /**
+     * Returns a cursor from which the window that contains [epochSince] is the next one, or the window after [read] if that is
+     * later. No window that ended after the store had come back was sealed before that, so none was reported.
+     */
+    private fun cursorAtRestore(read: UsageCursor?): UsageCursor {
+        val before = UsageWindow.containing(epochSince - windowLength, windowLength).name
+        val last = if (read == null) before else laterOf(before, read.sealed)
         return UsageCursor(last, last, epoch)
     }
 
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageReporterRestoreTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageReporterRestoreTest.kt
@@ -63,7 +63,7 @@
         acceptsReports = false
         var reporter = newReporter.holding().runThrough(0)
         val bytes = sent.first().encode()
-        for (calls in listOf(0, 1, 6)) {
+        for (calls in listOf(0, 1, 2, 3, 6)) {
             restore(copy, emptyList())
             reporter = reporter.holding(reporter.fencing)
             repeat(calls) { reporter = reporter.step() }
@@ -76,7 +76,7 @@
     }
 
     @Test
-    fun `given a holder without memory, when its position is restored, then the present window is next`() {
+    fun `given a holder without memory, when its position is restored, then the window of the restore is next`() {
         for ((copy, callsBefore) in listOf(store to 0, FakeStore() to 0, store to 1)) {
             now = window(5).start
             restore(copy, emptyList())
@@ -89,15 +89,22 @@
     }
 
     @Test
-    fun `given a window sealed in the copy, when a holder has no memory, then it is reported first, and left out if its totals are lost`() {
+    fun `given a window sealed in the copy, when a holder has no memory, then it is only reported if its totals are known to be the same`() {
         put(UsageKeys.CURSOR, UsageCursor(name(0), name(-1)).encode())
         val withoutTotals = store
         put(UsageKeys.sealed(name(0)), SealedWindow(name(0), counts(5), emptyMap()).encode())
-        for ((copy, expected) in listOf(store to listOf(0, 5, 6), withoutTotals to listOf(5, 6))) {
+        val sealed = store
+        for ((copy, restores, expected) in listOf(
+            Triple(sealed, 1, listOf(0, 5, 6)),
+            Triple(withoutTotals, 1, listOf(5, 6)),
+            // After the first restore another process may have sealed the window with other totals.
+            Triple(sealed, 2, listOf(5, 6)),
+        )) {
             now = window(5).start
-            restore(copy, emptyList())
+            store = sealed
+            repeat(restores) { restore(copy, emptyList()) }
             newReporter.holding().runThrough(6)
-            expectThat(windows()).isEqualTo(expected)
+            expectThat(windows()).describedAs("$restores restores").isEqualTo(expected)
         }
     }
 
@@ -143,7 +150,7 @@
         val key = "${UsageKeys.LEASE}@${store.revision}"
         put(key, "vm-1")
         lease = HeldLease(key, lease = 0, fencing = store.revision, until = now + 1.hours, sendFrom = now, continues = continues)
-        return underLease(lease, now)
+        return inEpoch(store.epoch, now).underLease(lease, now)
     }
 
     private fun UsageReporter.runThrough(number: Int) = runUntil(window(number).end + 30.seconds)
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageSimulation.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageSimulation.kt
@@ -10,9 +10,7 @@
 import org.ragwortlever.core.store.StoreCall
 import org.ragwortlever.core.store.StoreFailure
 import org.ragwortlever.core.store.Write
-import org.ragwortlever.core.store.epochOf
 import org.ragwortlever.core.store.inEpoch
-import org.ragwortlever.core.store.revision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -133,21 +131,18 @@
             }.takeIf { process.lease.epoch < store.epoch }
         val call = entered.nextCall(now) ?: return listOfNotNull(learn)
         return listOfNotNull(learn) +
-            outcomes("lease $index", call, null, process.epoch) { answer ->
-                val isOfEpoch = answer.revision()?.let { epochOf(it) == process.epoch } ?: true
-                with(index, process.learnedFrom(answer).copy(lease = if (isOfEpoch) entered.handleAnswer(answer, now, now) else entered))
+            outcomes("lease $index", call, null, process.epoch) { answer, epoch ->
+                val after = if (epoch == process.epoch) entered.handleAnswer(answer, now, now) else entered
+                with(index, process.copy(lease = after, epoch = epoch))
             }
     }
 
-    /** Any answer names the epoch of the store. */
-    private fun ReporterProcess.learnedFrom(answer: StoreAnswer) = if (answer is StoreAnswer.Failed) this else copy(epoch = store.epoch)
-
     private fun reportTransitions(
         index: Int,
         bounds: UsageBounds,
     ): List<UsageTransition> {
         val held = reporters[index].held(bounds)
-        val process = reporters[index].let { it.copy(reporter = it.reporter.underLease(held, now)) }
+        val process = reporters[index].let { it.copy(reporter = it.reporter.inEpoch(it.epoch, now).underLease(held, now)) }
         val started = process.call
         if (started == null) {
             val call = held?.let { process.reporter.next(it, now) } ?: return emptyList()
@@ -160,8 +155,8 @@
             known: Long = process.epoch,
         ) = with(index, process.copy(call = null, reporter = process.reporter.answered(answer, fencing, now), epoch = known))
         if (call is ReporterCall.ToStore) {
-            return outcomes("report $index", call.call.changed(bounds), bounds, process.epoch) {
-                take(ReporterAnswer.FromStore(it), process.learnedFrom(it).epoch)
+            return outcomes("report $index", call.call.changed(bounds), bounds, process.epoch) { answer, epoch ->
+                take(ReporterAnswer.FromStore(answer), epoch)
             }
         }
         val lost = transition("lost $index") { copy(remainingLosses = remainingLosses - 1).take(ReporterAnswer.NotReported) }
@@ -230,10 +225,10 @@
             return listOfNotNull(count, copied, learn, due?.let { transition("flush $index") { with(index, source.copy(flush = it)) } })
         }
         return listOfNotNull(count, copied, learn) +
-            outcomes("flush $index", flush.next().changed(bounds), bounds, source.ledger.epoch) { answer ->
+            outcomes("flush $index", flush.next().changed(bounds), bounds, source.ledger.epoch) { answer, epoch ->
                 val after = flush.answered(answer)
-                val ledger = if (after.isDone) source.ledger.markFlushed(flush, now) else source.ledger
-                with(index, source.copy(ledger = ledger, flush = after.takeUnless { it.isFinished }))
+                val ledger = if (after.isDone) source.ledger.markFlushed(after, now) else source.ledger
+                with(index, source.copy(ledger = ledger.inEpoch(epoch), flush = after.takeUnless { it.isFinished }))
             }
     }
 
@@ -244,18 +239,19 @@
             val due = copies.bySource.keys.flatMap(copies::flushes).firstOrNull() ?: return emptyList()
             return listOf(transition("flush copy") { copy(copyFlush = due) })
         }
-        return outcomes("flush copy", flush.next().changed(bounds), bounds, store.epoch) { answer ->
+        return outcomes("flush copy", flush.next().changed(bounds), bounds, store.epoch) { answer, _ ->
             val after = flush.answered(answer)
             copy(copies = if (after.isDone) copies.removeFlushed(flush) else copies, copyFlush = after.takeUnless { it.isFinished })
         }
     }
 
+    /** Returns the outcomes of [call]; `take` gets the answer and the newest epoch of the store that the caller knows then. */
     private fun outcomes(
         name: String,
         call: StoreCall,
         bounds: UsageBounds?,
         known: Long,
-        take: UsageSimulation.(StoreAnswer) -> UsageSimulation,
+        take: UsageSimulation.(StoreAnswer, Long) -> UsageSimulation,
     ): List<UsageTransition> {
         val (after, answer) = store.callFrom(known, call, now)
         val changes = call !is StoreCall.Read
@@ -265,15 +261,17 @@
         val uncheckedAnswer =
             staleAnswer?.takeIf { unchecked }?.let { StoreAnswer.Found(it.read.copy(revision = Long.MAX_VALUE)) } ?: staleAnswer
         return listOfNotNull(
-            transition(name) { copy(store = after).take(answer) },
-            uncheckedAnswer?.let { transition("stale $name") { take(it) } },
-            transition("lost $name") { copy(remainingLosses = remainingLosses - 1).take(failed) }.takeIf { remainingLosses > 0 },
-            transition("lost $name") { copy(store = after, remainingLosses = remainingLosses - 1).take(failed) }.takeIf {
+            transition(name) { copy(store = after).take(answer, store.epoch) },
+            uncheckedAnswer?.let { transition("stale $name") { take(it, known) } },
+            transition("lost $name") { copy(remainingLosses = remainingLosses - 1).take(failed, known) }.takeIf { remainingLosses > 0 },
+            transition("lost $name") { copy(store = after, remainingLosses = remainingLosses - 1).take(failed, known) }.takeIf {
                 remainingLosses >
                     0 &&
                     changes
             },
-            transition("delayed $name") { copy(lateCalls = lateCalls + call, remainingLosses = remainingLosses - 1).take(failed) }.takeIf {
+            transition("delayed $name") {
+                copy(lateCalls = lateCalls + call, remainingLosses = remainingLosses - 1).take(failed, known)
+            }.takeIf {
                 bounds?.lateCalls == true && call is StoreCall.Commit && remainingLosses > 0
             },
         )
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
@@ -167,7 +167,7 @@
 
     private fun executeNextReporterCall(): Boolean {
         val held = lease.held()
-        reporter = reporter.underLease(held, now())
+        reporter = reporter.inEpoch(store.epoch, now()).underLease(held, now())
         val call = held?.let { reporter.next(it, now()) } ?: return false
         val answer = execute(call, held.fencing)
         val before = reporter
