--- a/stand-ins/src/main/kotlin/org/ragwortlever/standins/platform/StoreMachine.kt
+++ b/stand-ins/src/main/kotlin/org/ragwortlever/standins/platform/StoreMachine.kt
@@ -22,10 +22,24 @@
     val entry: StoreEntry?,
 )
 
+/** A copy of a store's whole state, for [StoreMachine.restore]. */
+class StoreCopy internal constructor(
+    internal val entries: Map<String, StoreEntry>,
+    internal val leases: Map<Long, StoreLease>,
+    internal val changes: List<StoreChange>,
+    internal val lastLease: Long,
+    internal val revision: Long,
+)
+
+internal data class StoreLease(
+    val duration: Duration,
+    val expiry: Instant,
+)
+
 /** An in-memory store. Every call is atomic. */
 class StoreMachine {
     private val entries = TreeMap<String, StoreEntry>()
-    private val leases = HashMap<Long, Lease>()
+    private val leases = HashMap<Long, StoreLease>()
     private val changes = ArrayList<StoreChange>()
     private var lastLease = 0L
 
@@ -72,7 +86,7 @@
         now: Instant,
     ): Long {
         expireLeases(now)
-        leases[++lastLease] = Lease(duration, now + duration)
+        leases[++lastLease] = StoreLease(duration, now + duration)
         return lastLease
     }
 
@@ -112,6 +126,26 @@
         return changes.filter { it.revision > afterRevision && it.key.startsWith(prefix) }
     }
 
+    /** Returns a copy of the present state. */
+    @Synchronized
+    fun copy(): StoreCopy = StoreCopy(TreeMap(entries), HashMap(leases), ArrayList(changes), lastLease, revision)
+
+    /**
+     * Returns to the state of [copy]. What was written since is lost, renewals of leases too, and revisions and lease ids are
+     * given out again from there.
+     */
+    @Synchronized
+    fun restore(copy: StoreCopy) {
+        entries.clear()
+        entries += copy.entries
+        leases.clear()
+        leases += copy.leases
+        changes.clear()
+        changes += copy.changes
+        lastLease = copy.lastLease
+        revision = copy.revision
+    }
+
     private fun expireLeases(now: Instant) {
         leases.filterValues { it.expiry <= now }.keys.toList().forEach(::endLease)
     }
@@ -147,11 +181,6 @@
         }
     }
 
-    private data class Lease(
-        val duration: Duration,
-        val expiry: Instant,
-    )
-
     companion object {
         const val MAXIMUM_VALUE_BYTES: Int = 1024 * 1024
 
