--- a/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
@@ -69,6 +69,9 @@
     /** Records that the store answers. */
     fun markStoreAvailable(now: Instant) = outage.end(now)
 
+    /** Records that the store has come back from an older copy, which may lack announcements of live servers. */
+    fun markStoreRestored(now: Instant) = outage.endWithRestore(now)
+
     /** Removes servers that did not announce themselves again in time; returns whether any was removed. */
     fun expire(now: Instant): Boolean {
         if (missing.isEmpty() || outage.isRecent(RETURN_GRACE_PERIOD, now)) return false
--- a/core/src/main/kotlin/org/ragwortlever/core/backend/StoreOutage.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/StoreOutage.kt
@@ -24,6 +24,12 @@
         endedAt = now
     }
 
+    /** Records that the store has come back from an older copy, also if no call has failed meanwhile. */
+    fun endWithRestore(now: Instant) {
+        isOngoing = false
+        endedAt = now
+    }
+
     /** Whether the store is unavailable or has recovered less than [gracePeriod] before [now]. */
     fun isRecent(
         gracePeriod: Duration,
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -1,6 +1,7 @@
 /*
  * The state of the fleet as this node knows it from the store. A configuration is only replaced by a newer version.
- * Entries that expire around an outage of the store are kept until their owners have had time to write them again.
+ * Entries that expire around an outage of the store, or that the store lacks after it has come back from an older copy, are
+ * kept until their owners have had time to write them again.
  */
 package org.ragwortlever.core.fleet
 
@@ -21,6 +22,7 @@
     val servers = ServerCatalog()
     private val registered = HashMap<String, NodeRecord>()
     private val lapsed = HashMap<String, Instant>()
+    private val lapsedZones = HashMap<String, Instant>()
 
     /** The newest configuration; null until one is known. */
     var document: RoutingDocument? = null
@@ -52,8 +54,8 @@
             is FleetRecord.ServerAnnounced -> servers.put(record.server, now)
             is FleetRecord.ServerRemoved -> servers.remove(record.id, now)
             is FleetRecord.ConfigurationChanged -> return configure(record.document)
-            is FleetRecord.ZoneTakenOut -> zonesTakenOut += record.zone
-            is FleetRecord.ZoneBroughtBack -> zonesTakenOut -= record.zone
+            is FleetRecord.ZoneTakenOut -> takeOut(record.zone)
+            is FleetRecord.ZoneBroughtBack -> bringBack(record.zone)
             is FleetRecord.NodeRegistered -> register(record.node)
             is FleetRecord.NodeRemoved -> unregister(record.name, now)
             is FleetRecord.RolloutOrdered -> rolloutOrders += record.order.service to record.order
@@ -72,13 +74,24 @@
         }
     }
 
-    /** Replaces everything with a complete listing of the store, except that the configuration never goes back to an older version. */
+    /**
+     * Replaces everything with a complete listing of the store, except that the configuration never goes back to an older
+     * version.
+     *
+     * @param isRestored whether the store has come back from an older copy since the last listing or change. What the copy
+     *   lacks is then kept for its grace period.
+     */
     fun replaceAll(
         records: List<FleetRecord>,
         now: Instant,
+        isRestored: Boolean = false,
     ) {
+        if (isRestored) {
+            outage.endWithRestore(now)
+            servers.markStoreRestored(now)
+        }
         servers.replaceAll(records.filterIsInstance<FleetRecord.ServerAnnounced>().map { it.server }, now)
-        zonesTakenOut = records.filterIsInstance<FleetRecord.ZoneTakenOut>().mapTo(HashSet()) { it.zone }
+        replaceZones(records.filterIsInstance<FleetRecord.ZoneTakenOut>().mapTo(HashSet()) { it.zone }, now, isRestored)
         rolloutOrders = records.filterIsInstance<FleetRecord.RolloutOrdered>().associate { it.order.service to it.order }
         rollouts = records.filterIsInstance<FleetRecord.RolloutDecided>().associate { it.record.service to it.record }
         val listed = records.filterIsInstance<FleetRecord.NodeRegistered>().map { it.node }
@@ -99,10 +112,13 @@
         servers.markStoreAvailable(now)
     }
 
-    /** Removes servers and entry VMs whose entries were not written again in time after an outage; returns what changed. */
+    /** Removes what was not written again in time after an outage or a restore of the store; returns what changed. */
     fun expire(now: Instant): Set<FleetChange> {
         val changes = HashSet<FleetChange>()
         if (servers.expire(now)) changes += FleetChange.SERVERS
+        val zonesBack = lapsedZones.filterValues { now >= it + OPERATOR_RETURN_GRACE_PERIOD }.keys.toSet()
+        if (zonesBack.isNotEmpty()) changes += FleetChange.ZONES
+        zonesBack.forEach(::bringBack)
         if (outage.isRecent(NODE_RETURN_GRACE_PERIOD, now)) return changes
         val gone = lapsed.filterValues { now >= it + NODE_RETURN_GRACE_PERIOD }.keys.toSet()
         if (gone.isNotEmpty()) changes += FleetChange.NODES
@@ -117,6 +133,25 @@
         return FleetChange.CONFIGURATION
     }
 
+    private fun takeOut(zone: String) {
+        lapsedZones -= zone
+        zonesTakenOut += zone
+    }
+
+    private fun bringBack(zone: String) {
+        lapsedZones -= zone
+        zonesTakenOut -= zone
+    }
+
+    private fun replaceZones(
+        listed: Set<String>,
+        now: Instant,
+        isRestored: Boolean,
+    ) {
+        (zonesTakenOut - listed).forEach { if (isRestored) lapsedZones[it] = now else bringBack(it) }
+        listed.forEach(::takeOut)
+    }
+
     private fun register(node: NodeRecord) {
         lapsed.remove(node.name)
         registered[node.name] = node
@@ -132,5 +167,8 @@
     private companion object {
         // Live entry VMs write their entries again within this time after the store's recovery.
         val NODE_RETURN_GRACE_PERIOD = 2.seconds
+
+        // The operators write again what a restored store lacks, but how soon is not known.
+        val OPERATOR_RETURN_GRACE_PERIOD = 5.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -14,6 +14,7 @@
 import org.ragwortlever.core.store.StoreChanges
 import org.ragwortlever.core.store.StoreEntry
 import org.ragwortlever.core.store.StoreFailure
+import org.ragwortlever.core.store.epochOf
 import org.ragwortlever.daemon.platform.ChangeFeed
 import kotlin.concurrent.thread
 import kotlin.time.Duration
@@ -71,6 +72,7 @@
 ) : AutoCloseable {
     private val view = FleetView()
     private var revision: Long? = null
+    private var epoch: Long? = null
     private var unavailableSince: Instant? = null
     private val retry = RetryBackoff(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY)
 
@@ -116,7 +118,9 @@
             success = { read ->
                 markStoreAnswered()
                 val records = read.entries.mapNotNull(::decode)
-                view.replaceAll(records, now())
+                val readEpoch = epochOf(read.revision)
+                view.replaceAll(records, now(), isRestored = epoch != null && epoch != readEpoch)
+                epoch = readEpoch
                 revision = read.revision
                 log.reset(read.revision, now())
                 logger.info {
