--- a/core/src/main/kotlin/org/ragwortlever/core/rollout/OutcomeCounter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/rollout/OutcomeCounter.kt
@@ -7,8 +7,7 @@
 /** Not thread-safe: owned by the control thread. */
 class OutcomeCounter {
     private class Counts(
-        val order: Long,
-        val version: String,
+        val record: RolloutRecord,
     ) {
         val new = HashMap<String, RouteOutcomes>()
         val old = HashMap<String, RouteOutcomes>()
@@ -23,7 +22,7 @@
     fun setOpen(records: Collection<RolloutRecord>) {
         byService.keys.retainAll(records.mapTo(HashSet()) { it.service })
         records.forEach { record ->
-            if (byService[record.service]?.order != record.order) byService[record.service] = Counts(record.order, record.version)
+            if (byService[record.service]?.record?.isSameRollout(record) != true) byService[record.service] = Counts(record)
         }
     }
 
@@ -66,7 +65,7 @@
         change: (RouteOutcomes) -> RouteOutcomes,
     ) {
         val counts = byService[service] ?: return
-        val outcomes = if (version == counts.version) counts.new else counts.old
+        val outcomes = if (version == counts.record.version) counts.new else counts.old
         outcomes[route] = change(outcomes[route] ?: RouteOutcomes())
     }
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutRecord.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutRecord.kt
@@ -3,12 +3,14 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.ragwortlever.core.store.epochOf
 import kotlin.time.Duration
 
 /**
  * An operator's order to move the traffic of [service] to servers of [version] within [duration].
  *
- * @property revision store revision of the order; an order that is written again is a new one.
+ * @property revision store revision of the order; an order that is written again is a new one. In another epoch of the
+ *   store the revision of the same order is another one, see [RolloutRecord.carriesOut].
  */
 data class RolloutOrder(
     val service: String,
@@ -36,7 +38,7 @@
 /**
  * The state of a roll-out, written by the VM that holds the fleet's duties and followed by all VMs.
  *
- * @property order revision of the order that it carries out.
+ * @property order revision of the order that it carries out, in the newest epoch of the store in which it was written.
  * @property share share of the requests that the new version gets, from 0 to 1.
  * @property startedAtMilliseconds when the first holder began, in milliseconds since 1970.
  * @property stageSinceMilliseconds when the stage began, in milliseconds since 1970.
@@ -59,5 +61,25 @@
 ) {
     val isOpen: Boolean get() = stage == RolloutStage.CANARY || stage == RolloutStage.PROMOTED
 
+    /**
+     * Whether this is a record of [wanted]. An order of another epoch of the store with the same version and duration is the
+     * same one: its entry was in the copy from which the store came back, or the operator has written it again since.
+     */
+    fun carriesOut(wanted: RolloutOrder): Boolean {
+        val duration = deadlineMilliseconds - startedAtMilliseconds
+        val isSame = version == wanted.version && duration == wanted.duration.inWholeMilliseconds
+        return order == wanted.revision || (isSame && epochOf(order) != epochOf(wanted.revision))
+    }
+
+    /** Returns the record with the revision of [wanted], which it carries out, if that is of a later epoch of the store. */
+    fun followTo(wanted: RolloutOrder): RolloutRecord =
+        if (epochOf(wanted.revision) > epochOf(order)) copy(order = wanted.revision) else this
+
+    /** Whether [other] is a record of the same roll-out, perhaps of another stage, or from before it followed its order. */
+    fun isSameRollout(other: RolloutRecord): Boolean =
+        version == other.version &&
+            startedAtMilliseconds == other.startedAtMilliseconds &&
+            (order == other.order || epochOf(order) != epochOf(other.order))
+
     fun encode(): String = Json.encodeToString(serializer(), this)
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/rollout/VersionShare.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/rollout/VersionShare.kt
@@ -65,7 +65,7 @@
             record: RolloutRecord?,
         ): VersionShare {
             // A version that nobody has begun to roll out gets nothing, and neither does one whose order was taken back.
-            if (order != null && record?.order != order.revision) return VersionShare(order.version, 0.0)
+            if (order != null && record?.carriesOut(order) != true) return VersionShare(order.version, 0.0)
             checkNotNull(record)
             return when (record.stage) {
                 RolloutStage.CANARY -> VersionShare(record.version, if (order == null) 0.0 else record.share)
--- a/core/src/test/kotlin/org/ragwortlever/core/rollout/RolloutPolicyTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/rollout/RolloutPolicyTest.kt
@@ -1,6 +1,7 @@
 package org.ragwortlever.core.rollout
 
 import org.junit.jupiter.api.Test
+import org.ragwortlever.core.store.numberInEpoch
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
@@ -117,6 +118,27 @@
         expectThat(again.share).isEqualTo(0.0)
     }
 
+    @Test
+    fun `given a roll-out at any moment, when the store has been restored, then it goes on from where it was`() {
+        val restored = order.copy(revision = numberInEpoch(1, 3))
+        play { record, _ -> state(record, Verdict.Good, runningOnOld = 1) }.forEach { (time, before) ->
+            val next = policy.next(state(before, runningOnOld = 1, order = restored), START + time)
+            expectThat(next.order).isEqualTo(restored.revision)
+            expectThat(next.startedAtMilliseconds).isEqualTo(before.startedAtMilliseconds)
+            expectThat(next.stage >= before.stage).isEqualTo(true)
+        }
+    }
+
+    @Test
+    fun `given a roll-out that has followed its order into a new epoch, when the order is written again there, then it begins anew`() {
+        val restored = order.copy(revision = numberInEpoch(1, 3))
+        val ended = play { record, _ -> state(record, Verdict.Good) }.last().second
+        val followed = policy.next(state(ended, order = restored), START + 25.seconds)
+        expectThat(followed.stage).isEqualTo(RolloutStage.COMPLETED)
+        val again = policy.next(state(followed, order = restored.copy(revision = numberInEpoch(1, 9))), START + 26.seconds)
+        expectThat(again.stage).isEqualTo(RolloutStage.CANARY)
+    }
+
     private companion object {
         val START = Instant.fromEpochMilliseconds(1_700_000_000_000)
         val STEP = 0.3.seconds
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RolloutTraffic.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RolloutTraffic.kt
@@ -39,14 +39,14 @@
     fun replace(view: FleetView) {
         orders = view.rolloutOrders
         records = view.rollouts
-        rolledBack.values.removeAll { it.order != records[it.service]?.order }
+        rolledBack.values.removeAll { records[it.service]?.isSameRollout(it) != true }
         update()
     }
 
     /** Applies a decision that has come directly; only one that takes requests from the new version. */
     @Synchronized
     fun applyDecision(record: RolloutRecord) {
-        if (record.stage != RolloutStage.ROLLED_BACK || records[record.service]?.order != record.order) return
+        if (record.stage != RolloutStage.ROLLED_BACK || records[record.service]?.isSameRollout(record) != true) return
         if (rolledBack.put(record.service, record) == null) update()
     }
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutRole.kt
@@ -14,6 +14,7 @@
 import org.ragwortlever.core.rollout.RolloutState
 import org.ragwortlever.core.rollout.VersionEvidence
 import org.ragwortlever.core.rollout.VersionTest
+import org.ragwortlever.core.store.epochOf
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -44,7 +45,8 @@
     /** Takes the report of a VM and returns the last decision on its roll-out. */
     fun receive(report: EvidenceReport): EvidenceReply {
         synchronized(evidence) { evidence.add(report) }
-        return EvidenceReply(decided[report.service]?.takeIf { it.order == report.order })
+        // A VM that has not read the record of a new epoch of the store still reports for the order's revision before.
+        return EvidenceReply(decided[report.service]?.takeIf { it.order == report.order || epochOf(report.order) < epochOf(it.order) })
     }
 
     internal fun step(): Boolean {
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/ScalingRole.kt
@@ -95,7 +95,7 @@
     ): Boolean {
         val order = state.rolloutOrders[service]
         val record = state.rollouts[service]
-        if (order != null && record?.order != order.revision) return true
+        if (order != null && record?.carriesOut(order) != true) return true
         if (record == null) return false
         val stageAge = wallClock() - Instant.fromEpochMilliseconds(record.stageSinceMilliseconds)
         return record.isOpen || stageAge < ROLLOUT_SETTLES
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
@@ -14,6 +14,7 @@
 import org.ragwortlever.core.rollout.VersionEvidence
 import org.ragwortlever.core.store.Transaction
 import org.ragwortlever.core.store.Write
+import org.ragwortlever.core.store.numberInEpoch
 import org.ragwortlever.daemon.configuration.MemoryStore
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -76,7 +77,7 @@
         val end = now + duration
         while (now < end) {
             evidence = evidence.copy(old = evidence.old.grown(40, 0), new = evidence.new.grown(3, newFailures))
-            role.receive(EvidenceReport("vm-1", 1, "service", 7, evidence))
+            role.receive(EvidenceReport("vm-1", 1, "service", view?.order ?: 7, evidence))
             role.step()
             view = stored
             now += STEP
@@ -147,6 +148,23 @@
         expectThat(stored).isNull()
     }
 
+    private fun restoreOrder() {
+        order = order?.copy(revision = numberInEpoch(1, 3))
+    }
+
+    @Test
+    fun `given a roll-out that was rolled back, when the store has been restored, then it stays so and follows its order`() {
+        val role = createHolder("vm-1")
+        run(role, 2.seconds)
+        newFailures = 2
+        run(role, 4.seconds)
+        val before = checkNotNull(stored)
+        restoreOrder()
+        run(role, 22.seconds)
+        expectThat(before.stage).isEqualTo(RolloutStage.ROLLED_BACK)
+        expectThat(stored).isEqualTo(before.copy(order = numberInEpoch(1, 3)))
+    }
+
     private companion object {
         const val LEASE = "lease"
         val STEP = 300.milliseconds
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/ScalingRoleTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/ScalingRoleTest.kt
@@ -4,13 +4,20 @@
 import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.fleet.ServiceLoad
 import org.ragwortlever.core.lease.HeldLease
+import org.ragwortlever.core.rollout.RolloutOrder
+import org.ragwortlever.core.rollout.RolloutRecord
+import org.ragwortlever.core.rollout.RolloutStage
 import org.ragwortlever.core.route.RoutingDocument
 import org.ragwortlever.core.route.ScalingRange
 import org.ragwortlever.core.route.ServiceDefinition
+import org.ragwortlever.core.store.numberInEpoch
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isNotEmpty
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -20,18 +27,26 @@
     private var now = Instant.fromEpochSeconds(1000)
     private val platform = Platform()
     private var load = emptyMap<String, ServiceLoad>()
+    private var rolloutOrders = emptyMap<String, RolloutOrder>()
+    private var rollouts = emptyMap<String, RolloutRecord>()
+    private var fencing = 1L
     private var role = createRoleOfNewHolder(fencing = 1)
 
     private fun createRoleOfNewHolder(fencing: Long): ScalingRole {
+        this.fencing = fencing
         val lease =
             object : RoleLease {
-                override fun held() = HeldLease("duties", 1, fencing, Instant.DISTANT_FUTURE, Instant.DISTANT_PAST)
+                override fun held() =
+                    HeldLease("duties", 1, this@ScalingRoleTest.fencing, Instant.DISTANT_FUTURE, Instant.DISTANT_PAST)
 
                 override fun isSafeToSend(fencing: Long) = true
             }
-        return ScalingRole(lease, { now }, { FleetState(DOCUMENT, platform.knownServers, load) }, platform::order)
+        return ScalingRole(lease, { now }, ::fleet, platform::order)
     }
 
+    private fun fleet() =
+        FleetState(DOCUMENT, platform.knownServers, load, rolloutOrders = rolloutOrders, rollouts = rollouts)
+
     private fun runFor(duration: Duration) {
         val end = now + duration
         while (now < end) {
@@ -79,10 +94,38 @@
         expectThat(platform.running).isEqualTo(RANGE.maximum * ZONES.size)
     }
 
+    // Guards against orders that only the platform's memory of an earlier token keeps in force.
+    @Test
+    fun `given a holder whose lease continues in a new epoch, then its orders in force are sent again under the new token`() {
+        runFor(10.seconds)
+        val inForce = platform.lastOrders.toMap()
+        platform.lastOrders.clear()
+        fencing = numberInEpoch(1, 5)
+        role.step()
+        expectThat(platform.fencings).containsExactly(1, fencing)
+        expectThat(platform.lastOrders.toMap()).isEqualTo(inForce)
+    }
+
+    // Guards against a service that is never scaled again because its completed roll-out seems to be ordered anew.
+    @Test
+    fun `given a completed roll-out, when its order comes in a new epoch, then the service is still scaled`() {
+        val order = RolloutOrder(SERVICE, "v2", 20.seconds, numberInEpoch(1, 3))
+        rolloutOrders = mapOf(SERVICE to order)
+        rollouts = mapOf(SERVICE to RolloutRecord(SERVICE, 7, "v2", RolloutStage.COMPLETED, 1.0, 0, 15_000, 20_000, "vm-1"))
+        runFor(10.seconds)
+        expectThat(platform.lastOrders.keys).isNotEmpty()
+        platform.lastOrders.clear()
+        rolloutOrders = mapOf(SERVICE to order.copy(version = "v3"))
+        runFor(20.seconds)
+        expectThat(platform.lastOrders.keys).isEmpty()
+    }
+
     /** Starts and stops servers as soon as they are ordered; the last [unannouncedCount] are not yet known to the role. */
     private class Platform {
         private val onDemand = ZONES.associateWithTo(HashMap()) { SERVERS_PER_ZONE }
         private val spot = ZONES.associateWithTo(HashMap()) { 0 }
+        val lastOrders = HashMap<Triple<String, String, Boolean>, Int>()
+        val fencings = ArrayList<Long>()
         var unannouncedCount = 0
         var fewestRunning = SERVERS_PER_ZONE * ZONES.size
             private set
@@ -98,8 +141,10 @@
 
         fun order(
             order: CapacityOrder,
-            @Suppress("UNUSED_PARAMETER") fencing: Long,
+            fencing: Long,
         ): SendOutcome {
+            lastOrders[Triple(order.service, order.zone, order.isSpot)] = order.count
+            if (fencings.lastOrNull() != fencing) fencings += fencing
             (if (order.isSpot) spot else onDemand)[order.zone] = order.count
             fewestRunning = minOf(fewestRunning, running)
             return SendOutcome.Answered(200, "")
