--- a/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
@@ -53,14 +53,19 @@
         }
     }
 
-    /** Replaces all announcements with a complete listing of the store. */
+    /**
+     * Replaces all announcements with a complete listing of the store, except those that are older than the known ones: a store
+     * that has come back from an older copy may have them.
+     */
     fun replaceAll(
         listed: List<BackendServer>,
         now: Instant,
     ) {
         val ids = listed.mapTo(HashSet()) { it.id }
         servers.keys.filter { it !in ids }.forEach { remove(it, now) }
-        listed.forEach { put(it, now) }
+        listed.forEach { server ->
+            if (servers[server.id]?.server?.isNewerThan(server) == true) missing -= server.id else put(server, now)
+        }
     }
 
     /** Records that the store does not answer, so that announcements may expire from now on. */
@@ -85,3 +90,6 @@
         val RETURN_GRACE_PERIOD: Duration = 2.5.seconds
     }
 }
+
+private fun BackendServer.isNewerThan(other: BackendServer): Boolean =
+    compareValuesBy(this, other, { it.incarnation }, { it.sequence }) > 0
--- a/core/src/test/kotlin/org/ragwortlever/core/backend/ServerCatalogTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/backend/ServerCatalogTest.kt
@@ -62,6 +62,18 @@
         expectThat(usable()).containsExactly("one")
     }
 
+    @Test
+    fun `given a listing of an older copy, when it has a draining server as it was before, then the server gets nothing new`() {
+        val draining = server("one", incarnation = 2, isDraining = true).copy(sequence = 5)
+        catalog.put(draining, start)
+        listOf(server("one", incarnation = 2).copy(sequence = 4), server("one").copy(sequence = 9)).forEach { older ->
+            catalog.replaceAll(listOf(older), start)
+            expectThat(usable()).isEmpty()
+        }
+        catalog.replaceAll(listOf(server("one", incarnation = 2).copy(sequence = 6)), start)
+        expectThat(usable()).containsExactly("one")
+    }
+
     @Test
     fun `given a cold server, when it is announced, then it is cold for the announced time`() {
         catalog.put(server("one", coldFor = 3.seconds), start)
