--- a/core/src/test/kotlin/org/ragwortlever/core/fleet/ChangeLogTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/fleet/ChangeLogTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.ragwortlever.core.store.StoreChange
 import org.ragwortlever.core.store.StoreEntry
+import org.ragwortlever.core.store.numberInEpoch
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
@@ -48,6 +49,28 @@
         expectThat(log.since(10, start + 3.seconds).ageMilliseconds).isEqualTo(200)
     }
 
+    @Test
+    fun `given a relay that has listed a restored store, when a VM of the epoch before asks, then it is told to read everything`() {
+        log.reset(10, start)
+        log.append(12, listOf(put("a")), start)
+        log.reset(numberInEpoch(1, 5), start)
+        val asked = listOf(1L, 5L, 10L, 12L, 30L)
+        asked.forEach { expectThat(log.since(it, start).changes).isNull() }
+        log.append(numberInEpoch(1, 11), listOf(put("b")), start)
+        asked.forEach { expectThat(log.since(it, start).changes).isNull() }
+        expectThat(log.since(numberInEpoch(1, 5), start).changes).isNotNull().get { map { it.key } }.containsExactly("b")
+    }
+
+    @Test
+    fun `given a relay that does not know a restored store, when a VM of the new epoch asks, then its state counts as outdated`() {
+        log.reset(10, start)
+        log.append(12, listOf(put("a")), start)
+        listOf(1L, 11L, 12L, 30L).forEach {
+            expectThat(log.since(numberInEpoch(1, it), start).ageMilliseconds).isEqualTo(3_600_000)
+            expectThat(log.since(numberInEpoch(1, it), start).changes).isEqualTo(emptyList())
+        }
+    }
+
     @Test
     fun `given a VM that is ahead of the relay, when it asks, then the relay's state counts as outdated`() {
         log.reset(10, start)
