--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -23,6 +23,7 @@
     private val registered = HashMap<String, NodeRecord>()
     private val lapsed = HashMap<String, Instant>()
     private val lapsedZones = HashMap<String, Instant>()
+    private val knownRollouts = KnownRollouts()
 
     /** The newest configuration; null until one is known. */
     var document: RoutingDocument? = null
@@ -33,12 +34,10 @@
         private set
 
     /** Roll-outs that the operators have ordered, by service. */
-    var rolloutOrders: Map<String, RolloutOrder> = emptyMap()
-        private set
+    val rolloutOrders: Map<String, RolloutOrder> get() = knownRollouts.orders
 
     /** Decisions on roll-outs, by service. */
-    var rollouts: Map<String, RolloutRecord> = emptyMap()
-        private set
+    val rollouts: Map<String, RolloutRecord> get() = knownRollouts.records
 
     /** Entry VMs that take requests, by name. */
     val nodes: Map<String, NodeRecord> get() = registered
@@ -58,10 +57,10 @@
             is FleetRecord.ZoneBroughtBack -> bringBack(record.zone)
             is FleetRecord.NodeRegistered -> register(record.node)
             is FleetRecord.NodeRemoved -> unregister(record.name, now)
-            is FleetRecord.RolloutOrdered -> rolloutOrders += record.order.service to record.order
-            is FleetRecord.RolloutWithdrawn -> rolloutOrders -= record.service
-            is FleetRecord.RolloutDecided -> rollouts += record.record.service to record.record
-            is FleetRecord.RolloutForgotten -> rollouts -= record.service
+            is FleetRecord.RolloutOrdered -> knownRollouts.order(record.order)
+            is FleetRecord.RolloutWithdrawn -> knownRollouts.withdraw(record.service)
+            is FleetRecord.RolloutDecided -> knownRollouts.decide(record.record)
+            is FleetRecord.RolloutForgotten -> knownRollouts.forget(record.service)
             is FleetRecord.CrashReported, is FleetRecord.PartQuarantined -> return null
         }
         return when (record) {
@@ -92,8 +91,12 @@
         }
         servers.replaceAll(records.filterIsInstance<FleetRecord.ServerAnnounced>().map { it.server }, now)
         replaceZones(records.filterIsInstance<FleetRecord.ZoneTakenOut>().mapTo(HashSet()) { it.zone }, now, isRestored)
-        rolloutOrders = records.filterIsInstance<FleetRecord.RolloutOrdered>().associate { it.order.service to it.order }
-        rollouts = records.filterIsInstance<FleetRecord.RolloutDecided>().associate { it.record.service to it.record }
+        knownRollouts.replaceAll(
+            records.filterIsInstance<FleetRecord.RolloutOrdered>().associate { it.order.service to it.order },
+            records.filterIsInstance<FleetRecord.RolloutDecided>().associate { it.record.service to it.record },
+            now,
+            isRestored,
+        )
         val listed = records.filterIsInstance<FleetRecord.NodeRegistered>().map { it.node }
         registered.keys.filter { name -> listed.none { it.name == name } }.forEach { unregister(it, now) }
         listed.forEach { register(it) }
@@ -116,6 +119,7 @@
     fun expire(now: Instant): Set<FleetChange> {
         val changes = HashSet<FleetChange>()
         if (servers.expire(now)) changes += FleetChange.SERVERS
+        if (knownRollouts.expire(now)) changes += FleetChange.ROLLOUTS
         val zonesBack = lapsedZones.filterValues { now >= it + OPERATOR_RETURN_GRACE_PERIOD }.keys.toSet()
         if (zonesBack.isNotEmpty()) changes += FleetChange.ZONES
         zonesBack.forEach(::bringBack)
--- a/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutRecord.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutRecord.kt
@@ -81,5 +81,8 @@
             startedAtMilliseconds == other.startedAtMilliseconds &&
             (order == other.order || epochOf(order) != epochOf(other.order))
 
+    /** Whether this record is of a later roll-out of the service than [other], or of a later stage of the same one. */
+    fun isAfter(other: RolloutRecord): Boolean = compareValuesBy(this, other, { it.startedAtMilliseconds }, { it.stage }) > 0
+
     fun encode(): String = Json.encodeToString(serializer(), this)
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutRole.kt
@@ -74,8 +74,10 @@
         decided[order.service] = next
         if (next == known) return
         val stored = store.read(order.service) ?: return
-        // The view of the fleet may be older than the store, where this or another VM has written meanwhile.
-        val current = if (stored.record == known) next else policy.next(state.toRollout(order, stored.record, total), now())
+        // The view of the fleet may be older than the store, where this or another VM has written meanwhile, or newer if the
+        // store has come back from an older copy.
+        val latest = listOfNotNull(stored.record, known).reduceOrNull { first, second -> if (second.isAfter(first)) second else first }
+        val current = if (latest == known) next else policy.next(state.toRollout(order, latest, total), now())
         if (current == stored.record) return
         val isWritten = store.write(current, stored, held)
         log(current, total, isWritten)
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetRestoreTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetRestoreTest.kt
@@ -10,6 +10,10 @@
 import org.ragwortlever.core.fleet.FleetRecord
 import org.ragwortlever.core.fleet.FleetView
 import org.ragwortlever.core.fleet.NodeRecord
+import org.ragwortlever.core.rollout.RolloutOrder
+import org.ragwortlever.core.rollout.RolloutRecord
+import org.ragwortlever.core.rollout.RolloutStage
+import org.ragwortlever.core.rollout.VersionShare
 import org.ragwortlever.core.store.StoreChange
 import org.ragwortlever.core.store.StoreChanges
 import org.ragwortlever.core.store.StoreEntry
@@ -37,6 +41,7 @@
         val nodes: Set<String>,
         val servers: Set<String>,
         val zonesTakenOut: Set<String>,
+        val shares: Map<String, VersionShare>,
     )
 
     private val feed =
@@ -59,6 +64,7 @@
             override fun decode(entry: StoreEntry): FleetRecord? =
                 when (entry.key) {
                     "server" -> FleetRecord.ServerAnnounced(server(entry.value))
+                    "order" -> FleetRecord.RolloutOrdered(RolloutOrder("service", entry.value, 20.seconds, entry.modifyRevision))
                     "zone" -> FleetRecord.ZoneTakenOut(entry.value)
                     else -> null
                 }
@@ -72,7 +78,13 @@
                 view: FleetView,
                 changes: Set<FleetChange>,
             ) {
-                observed += Observed(view.nodes.keys.toSet(), view.servers.usable.mapTo(HashSet()) { it.server.id }, view.zonesTakenOut)
+                observed +=
+                    Observed(
+                        view.nodes.keys.toSet(),
+                        view.servers.usable.mapTo(HashSet()) { it.server.id },
+                        view.zonesTakenOut,
+                        VersionShare.of(view.rolloutOrders, view.rollouts),
+                    )
             }
 
             override fun onCrashReported(record: FleetRecord.CrashReported) = Unit
@@ -93,12 +105,26 @@
     private fun entry(
         key: String,
         value: String,
-    ) = StoreEntry(key, value, 1, 1)
+        revision: Long = 1,
+    ) = StoreEntry(key, value, 1, revision)
 
     private fun node(name: String) = entry(FleetKeys.node(name), NodeRecord(name, 1, "10.0.0.1:80", "a", "r").encode())
 
-    private val known = listOf(node("one"), node("two"), entry("server", "s1"), entry("server", "s2"), entry("zone", "b"))
-    private val all = Observed(setOf("one", "two"), setOf("s1", "s2"), setOf("b"))
+    private fun record(
+        stage: RolloutStage,
+        order: Long = 7,
+    ): StoreEntry {
+        val share = if (stage == RolloutStage.ROLLED_BACK) 0.0 else 0.05
+        return entry(FleetKeys.rollout("service"), RolloutRecord("service", order, "v2", stage, share, 0, 0, 20_000, "one").encode())
+    }
+
+    private val lost =
+        listOf(node("two"), entry("server", "s2"), entry("zone", "b"), entry("order", "v2", 7), record(RolloutStage.COMPLETED))
+    private val completed = mapOf("service" to VersionShare("v2", 1.0, isExclusive = true))
+    private val nothing = mapOf("service" to VersionShare("v2", 0.0))
+    private val known = listOf(node("one"), entry("server", "s1")) + lost
+    private val all = Observed(setOf("one", "two"), setOf("s1", "s2"), setOf("b"), completed)
+    private val copied = Observed(setOf("one"), setOf("s1"), emptySet(), emptyMap())
     private val copy = listOf(node("one"), entry("server", "s1"))
 
     private fun next() = checkNotNull(observed.poll(20, TimeUnit.SECONDS))
@@ -112,11 +138,12 @@
     }
 
     @Test
-    fun `given a copy that lacks a server, a VM and a zone, when they are written again, then they were never gone`() {
+    fun `given a copy that lacks servers, VMs, a zone and a roll-out, when they are written again, then they were never gone`() {
         startAndList(numberInEpoch(1, 8))
         expectThat(next()).isEqualTo(all)
         now += 1.seconds
-        val written = listOf(node("two"), entry("server", "s2"), entry("zone", "b")).map { StoreChange.Put(it) }
+        val order = entry("order", "v2", numberInEpoch(1, 10))
+        val written = listOf(node("two"), entry("server", "s2"), entry("zone", "b"), order).map { StoreChange.Put(it) }
         changes += Ok(StoreChanges.Since(numberInEpoch(1, 11), written))
         expectThat(next()).isEqualTo(all)
         now += 30.seconds
@@ -125,7 +152,7 @@
     }
 
     @Test
-    fun `given a copy that lacks a server, a VM and a zone, when they don't return in time, then they are gone`() {
+    fun `given a copy that lacks servers, VMs, a zone and a roll-out, when they don't return in time, then they are gone`() {
         startAndList(numberInEpoch(1, 8))
         expectThat(next()).isEqualTo(all)
         now += 1.seconds
@@ -133,12 +160,43 @@
         expectThat(next()).isEqualTo(all)
         now += 30.seconds
         changes += Ok(StoreChanges.Since(numberInEpoch(1, 8), emptyList()))
-        expectThat(next()).isEqualTo(Observed(setOf("one"), setOf("s1"), emptySet()))
+        expectThat(next()).isEqualTo(copied)
+    }
+
+    @Test
+    fun `given a copy with an earlier stage, when a roll-out was rolled back since, then it stays so until another holder completes it`() {
+        listings += Ok(StoreRead(10, listOf(entry("order", "v2", 7), record(RolloutStage.ROLLED_BACK))))
+        listings += Ok(StoreRead(numberInEpoch(1, 8), listOf(entry("order", "v2", numberInEpoch(1, 7)), record(RolloutStage.CANARY))))
+        follower.start()
+        expectThat(next().shares).isEqualTo(nothing)
+        changes += Ok(StoreChanges.HistoryGone)
+        expectThat(next().shares).isEqualTo(nothing)
+        listOf(
+            RolloutStage.CANARY to nothing,
+            RolloutStage.PROMOTED to nothing,
+            RolloutStage.COMPLETED to completed,
+        ).forEach { (stage, shares) ->
+            now += 30.seconds
+            changes += Ok(StoreChanges.Since(numberInEpoch(1, 9), listOf(StoreChange.Put(record(stage, numberInEpoch(1, 7))))))
+            expectThat(next().shares).isEqualTo(shares)
+        }
+    }
+
+    @Test
+    fun `given a copy with the order before, when the newer order is written again, then the older one was never in force`() {
+        listings += Ok(StoreRead(10, known))
+        listings += Ok(StoreRead(numberInEpoch(1, 5), listOf(entry("order", "v1", numberInEpoch(1, 4)))))
+        follower.start()
+        expectThat(next().shares).isEqualTo(completed)
+        changes += Ok(StoreChanges.HistoryGone)
+        expectThat(next().shares).isEqualTo(completed)
+        changes += Ok(StoreChanges.Since(numberInEpoch(1, 6), listOf(StoreChange.Put(entry("order", "v2", numberInEpoch(1, 6))))))
+        expectThat(next().shares).isEqualTo(completed)
     }
 
     @Test
     fun `given a listing of the same epoch, when it lacks entries, then they are gone at once`() {
         startAndList(50)
-        expectThat(next()).isEqualTo(Observed(setOf("one"), setOf("s1"), emptySet()))
+        expectThat(next()).isEqualTo(copied)
     }
 }
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
@@ -165,6 +165,25 @@
         expectThat(stored).isEqualTo(before.copy(order = numberInEpoch(1, 3)))
     }
 
+    @Test
+    fun `given a copy that lacks the record or has an earlier stage, when the holder knows the later one, then it is written again`() {
+        val role = createHolder("vm-1")
+        run(role, 2.seconds)
+        val canary = checkNotNull(stored)
+        newFailures = 2
+        run(role, 4.seconds)
+        val known = stored
+        val key = FleetKeys.rollout("service")
+        listOf(Write.Delete(key), Write.Put(key, canary.encode())).forEachIndexed { index, copy ->
+            val revision = numberInEpoch(index + 1L, 3)
+            order = order?.copy(revision = revision)
+            store.commit(Transaction(emptyList(), listOf(copy)))
+            view = known
+            role.step()
+            expectThat(stored).isNotNull().get { stage to this.order }.isEqualTo(RolloutStage.ROLLED_BACK to revision)
+        }
+    }
+
     private companion object {
         const val LEASE = "lease"
         val STEP = 300.milliseconds
