--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -1,6 +1,7 @@
 /*
  * The state of the fleet as this node knows it from the store. A configuration is only replaced by a newer version.
- * Entries that expire around an outage of the store are kept until their owners have had time to write them again.
+ * Entries that expire around an outage of the store, or that the store lacks after it has come back from an older copy, are
+ * kept until their owners have had time to write them again.
  */
 package org.ragwortlever.core.fleet
 
@@ -21,6 +22,8 @@
     val servers = ServerCatalog()
     private val registered = HashMap<String, NodeRecord>()
     private val lapsed = HashMap<String, Instant>()
+    private val lapsedZones = HashMap<String, Instant>()
+    private val knownRollouts = KnownRollouts()
 
     /** The newest configuration; null until one is known. */
     var document: RoutingDocument? = null
@@ -31,12 +34,10 @@
         private set
 
     /** Roll-outs that the operators have ordered, by service. */
-    var rolloutOrders: Map<String, RolloutOrder> = emptyMap()
-        private set
+    val rolloutOrders: Map<String, RolloutOrder> get() = knownRollouts.orders
 
     /** Decisions on roll-outs, by service. */
-    var rollouts: Map<String, RolloutRecord> = emptyMap()
-        private set
+    val rollouts: Map<String, RolloutRecord> get() = knownRollouts.records
 
     /** Entry VMs that take requests, by name. */
     val nodes: Map<String, NodeRecord> get() = registered
@@ -52,14 +53,14 @@
             is FleetRecord.ServerAnnounced -> servers.put(record.server, now)
             is FleetRecord.ServerRemoved -> servers.remove(record.id, now)
             is FleetRecord.ConfigurationChanged -> return configure(record.document)
-            is FleetRecord.ZoneTakenOut -> zonesTakenOut += record.zone
-            is FleetRecord.ZoneBroughtBack -> zonesTakenOut -= record.zone
+            is FleetRecord.ZoneTakenOut -> takeOut(record.zone)
+            is FleetRecord.ZoneBroughtBack -> bringBack(record.zone)
             is FleetRecord.NodeRegistered -> register(record.node)
             is FleetRecord.NodeRemoved -> unregister(record.name, now)
-            is FleetRecord.RolloutOrdered -> rolloutOrders += record.order.service to record.order
-            is FleetRecord.RolloutWithdrawn -> rolloutOrders -= record.service
-            is FleetRecord.RolloutDecided -> rollouts += record.record.service to record.record
-            is FleetRecord.RolloutForgotten -> rollouts -= record.service
+            is FleetRecord.RolloutOrdered -> knownRollouts.order(record.order)
+            is FleetRecord.RolloutWithdrawn -> knownRollouts.withdraw(record.service)
+            is FleetRecord.RolloutDecided -> knownRollouts.decide(record.record)
+            is FleetRecord.RolloutForgotten -> knownRollouts.forget(record.service)
             is FleetRecord.CrashReported, is FleetRecord.PartQuarantined -> return null
         }
         return when (record) {
@@ -72,15 +73,30 @@
         }
     }
 
-    /** Replaces everything with a complete listing of the store, except that the configuration never goes back to an older version. */
+    /**
+     * Replaces everything with a complete listing of the store, except that the configuration never goes back to an older
+     * version.
+     *
+     * @param isRestored whether the store has come back from an older copy since the last listing or change. What the copy
+     *   lacks is then kept for its grace period.
+     */
     fun replaceAll(
         records: List<FleetRecord>,
         now: Instant,
+        isRestored: Boolean = false,
     ) {
+        if (isRestored) {
+            outage.endWithRestore(now)
+            servers.markStoreRestored(now)
+        }
         servers.replaceAll(records.filterIsInstance<FleetRecord.ServerAnnounced>().map { it.server }, now)
-        zonesTakenOut = records.filterIsInstance<FleetRecord.ZoneTakenOut>().mapTo(HashSet()) { it.zone }
-        rolloutOrders = records.filterIsInstance<FleetRecord.RolloutOrdered>().associate { it.order.service to it.order }
-        rollouts = records.filterIsInstance<FleetRecord.RolloutDecided>().associate { it.record.service to it.record }
+        replaceZones(records.filterIsInstance<FleetRecord.ZoneTakenOut>().mapTo(HashSet()) { it.zone }, now, isRestored)
+        knownRollouts.replaceAll(
+            records.filterIsInstance<FleetRecord.RolloutOrdered>().associate { it.order.service to it.order },
+            records.filterIsInstance<FleetRecord.RolloutDecided>().associate { it.record.service to it.record },
+            now,
+            isRestored,
+        )
         val listed = records.filterIsInstance<FleetRecord.NodeRegistered>().map { it.node }
         registered.keys.filter { name -> listed.none { it.name == name } }.forEach { unregister(it, now) }
         listed.forEach { register(it) }
@@ -99,10 +115,14 @@
         servers.markStoreAvailable(now)
     }
 
-    /** Removes servers and entry VMs whose entries were not written again in time after an outage; returns what changed. */
+    /** Removes what was not written again in time after an outage or a restore of the store; returns what changed. */
     fun expire(now: Instant): Set<FleetChange> {
         val changes = HashSet<FleetChange>()
         if (servers.expire(now)) changes += FleetChange.SERVERS
+        if (knownRollouts.expire(now)) changes += FleetChange.ROLLOUTS
+        val zonesBack = lapsedZones.filterValues { now >= it + OPERATOR_RETURN_GRACE_PERIOD }.keys.toSet()
+        if (zonesBack.isNotEmpty()) changes += FleetChange.ZONES
+        zonesBack.forEach(::bringBack)
         if (outage.isRecent(NODE_RETURN_GRACE_PERIOD, now)) return changes
         val gone = lapsed.filterValues { now >= it + NODE_RETURN_GRACE_PERIOD }.keys.toSet()
         if (gone.isNotEmpty()) changes += FleetChange.NODES
@@ -117,6 +137,25 @@
         return FleetChange.CONFIGURATION
     }
 
+    private fun takeOut(zone: String) {
+        lapsedZones -= zone
+        zonesTakenOut += zone
+    }
+
+    private fun bringBack(zone: String) {
+        lapsedZones -= zone
+        zonesTakenOut -= zone
+    }
+
+    private fun replaceZones(
+        listed: Set<String>,
+        now: Instant,
+        isRestored: Boolean,
+    ) {
+        (zonesTakenOut - listed).forEach { if (isRestored) lapsedZones[it] = now else bringBack(it) }
+        listed.forEach(::takeOut)
+    }
+
     private fun register(node: NodeRecord) {
         lapsed.remove(node.name)
         registered[node.name] = node
@@ -132,5 +171,8 @@
     private companion object {
         // Live entry VMs write their entries again within this time after the store's recovery.
         val NODE_RETURN_GRACE_PERIOD = 2.seconds
+
+        // The operators write again what a restored store lacks, but how soon is not known.
+        val OPERATOR_RETURN_GRACE_PERIOD = 5.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/RolloutRole.kt
@@ -14,6 +14,7 @@
 import org.ragwortlever.core.rollout.RolloutState
 import org.ragwortlever.core.rollout.VersionEvidence
 import org.ragwortlever.core.rollout.VersionTest
+import org.ragwortlever.core.store.epochOf
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -44,7 +45,8 @@
     /** Takes the report of a VM and returns the last decision on its roll-out. */
     fun receive(report: EvidenceReport): EvidenceReply {
         synchronized(evidence) { evidence.add(report) }
-        return EvidenceReply(decided[report.service]?.takeIf { it.order == report.order })
+        // A VM that has not read the record of a new epoch of the store still reports for the order's revision before.
+        return EvidenceReply(decided[report.service]?.takeIf { it.order == report.order || epochOf(report.order) < epochOf(it.order) })
     }
 
     internal fun step(): Boolean {
@@ -72,8 +74,10 @@
         decided[order.service] = next
         if (next == known) return
         val stored = store.read(order.service) ?: return
-        // The view of the fleet may be older than the store, where this or another VM has written meanwhile.
-        val current = if (stored.record == known) next else policy.next(state.toRollout(order, stored.record, total), now())
+        // The view of the fleet may be older than the store, where this or another VM has written meanwhile, or newer if the
+        // store has come back from an older copy.
+        val latest = listOfNotNull(stored.record, known).reduceOrNull { first, second -> if (second.isAfter(first)) second else first }
+        val current = if (latest == known) next else policy.next(state.toRollout(order, latest, total), now())
         if (current == stored.record) return
         val isWritten = store.write(current, stored, held)
         log(current, total, isWritten)
