--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageReporterRestoreTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageReporterRestoreTest.kt
@@ -10,6 +10,8 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -145,6 +147,16 @@
         expectThat(flushed.inEpoch(1).markFlushed(writtenAgain, end + 1.minutes).parts).isEqualTo(emptyMap())
     }
 
+    // Guards against a holder that reports nothing because the clock of its lease has been set forward.
+    @Test
+    fun `given a lease whose clock is ahead of that of the windows, when its holder reports, then the lease is judged by its own`() {
+        val reporter = newReporter.holding()
+        val ahead = 30.seconds
+        val shifted = lease.copy(sendFrom = now + ahead, until = now + ahead + 1.hours)
+        expectThat(reporter.next(shifted, now)).isNull()
+        expectThat(reporter.next(shifted, now, now + ahead)).isNotNull()
+    }
+
     /** Gives the reporter a lease of the store's present epoch; [continues] is the token of the lease before. */
     private fun UsageReporter.holding(continues: Long = 0): UsageReporter {
         val key = "${UsageKeys.LEASE}@${store.revision}"
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -65,6 +65,7 @@
             store = store,
             lease = lease,
             now = clock::now,
+            leaseClock = leaseClock::now,
             source = source,
             nextFlush = { nextFlushTime(it, bounds) },
             times =
