--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -77,7 +77,7 @@
      * Replaces everything with a complete listing of the store, except that the configuration never goes back to an older
      * version.
      *
-     * @param isRestored whether the store has come back from an older copy since the last listing or change. What the copy
+     * @param isRestored whether the store has come back from an older copy since the last listing. What the copy
      *   lacks is then kept for its grace period.
      */
     fun replaceAll(
@@ -152,7 +152,13 @@
         now: Instant,
         isRestored: Boolean,
     ) {
-        (zonesTakenOut - listed).forEach { if (isRestored) lapsedZones[it] = now else bringBack(it) }
+        (zonesTakenOut - listed).forEach {
+            if (isRestored) {
+                lapsedZones[it] = now
+            } else if (it !in lapsedZones) {
+                bringBack(it)
+            }
+        }
         listed.forEach(::takeOut)
     }
 
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/KnownRollouts.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/KnownRollouts.kt
@@ -7,7 +7,7 @@
 
 import org.ragwortlever.core.rollout.RolloutOrder
 import org.ragwortlever.core.rollout.RolloutRecord
-import org.ragwortlever.core.store.numberInStore
+import org.ragwortlever.core.store.revisionInStore
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -65,13 +65,16 @@
         now: Instant,
         isRestored: Boolean,
     ) {
-        val keptOrders = if (isRestored) orders.filterValues { it.isMissingIn(listedOrders) } else emptyMap()
-        val keptRecords = if (isRestored) records.filterValues { it.isMissingIn(listedRecords) } else emptyMap()
+        // A second listing soon after a restore does not end the grace period.
+        val before = kept?.takeIf { now < it.until }
+        val until = if (isRestored) now + RETURN_GRACE_PERIOD else before?.until
+        val keptOrders =
+            orders.filterValues { (isRestored || it.service in before?.orders.orEmpty()) && it.isMissingIn(listedOrders) }
+        val keptRecords =
+            records.filterValues { (isRestored || it.service in before?.records.orEmpty()) && it.isMissingIn(listedRecords) }
         orders = listedOrders + keptOrders
         records = listedRecords + keptRecords
-        kept =
-            Kept(keptOrders.keys.toMutableSet(), keptRecords.keys.toMutableSet(), listedOrders, listedRecords, now + RETURN_GRACE_PERIOD)
-                .takeIf { isRestored }
+        kept = until?.let { Kept(keptOrders.keys.toMutableSet(), keptRecords.keys.toMutableSet(), listedOrders, listedRecords, it) }
     }
 
     /**
@@ -82,15 +85,15 @@
         val expired = kept?.takeIf { now >= it.until } ?: return false
         kept = null
         orders = orders - expired.orders + expired.listedOrders.filterKeys { it in expired.orders }
-        val given = expired.records.filter { service -> orders[service]?.let { records[service]?.carriesOut(it) } != true }
-        records = records - given.toSet() + expired.listedRecords.filterKeys { it in given }
-        return expired.orders.isNotEmpty() || given.isNotEmpty()
+        val dropped = expired.records.filter { service -> orders[service]?.let { records[service]?.carriesOut(it) } != true }
+        records = records - dropped.toSet() + expired.listedRecords.filterKeys { it in dropped }
+        return expired.orders.isNotEmpty() || dropped.isNotEmpty()
     }
 
     private fun RolloutOrder.isMissingIn(listed: Map<String, RolloutOrder>): Boolean {
         val other = listed[service] ?: return true
         val isSame = version == other.version && duration == other.duration
-        return !isSame && numberInStore(other.revision) < numberInStore(revision)
+        return !isSame && revisionInStore(other.revision) < revisionInStore(revision)
     }
 
     private fun RolloutRecord.isMissingIn(listed: Map<String, RolloutRecord>): Boolean = listed[service]?.let { isAfter(it) } ?: true
--- a/core/src/main/kotlin/org/ragwortlever/core/lease/HeldLease.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/lease/HeldLease.kt
@@ -36,8 +36,8 @@
  *   holder.
  * @property until end of the lease by the holder's clock; the store ends it later by the drift allowance.
  * @property sendFrom time by the holder's clock from which no send of the previous holder can still be in progress.
- * @property continues fencing token of the lease that this process held when it learned of the store's epoch; 0 if it held
- *   none. Nobody else has acted in the role between the two.
+ * @property continues fencing token of the lease of an earlier epoch of the store that this one continues, which means that
+ *   nobody else has acted in the role between the two; 0 if there is none.
  */
 data class HeldLease(
     val key: String,
--- a/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutPolicy.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutPolicy.kt
@@ -40,7 +40,7 @@
         state: RolloutState,
         now: Instant,
     ): RolloutRecord {
-        val record = state.record?.takeIf { it.carriesOut(state.order) }?.followTo(state.order) ?: begin(state.order, now)
+        val record = state.record?.takeIf { it.carriesOut(state.order) }?.withRevisionOf(state.order) ?: begin(state.order, now)
         if (!record.isOpen) return record
         val verdict = state.verdict
         if (verdict is Verdict.Bad) return record.enter(RolloutStage.ROLLED_BACK, 0.0, verdict.reason, now)
--- a/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutRecord.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/rollout/RolloutRecord.kt
@@ -72,14 +72,13 @@
     }
 
     /** Returns the record with the revision of [wanted], which it carries out, if that is of a later epoch of the store. */
-    fun followTo(wanted: RolloutOrder): RolloutRecord =
+    fun withRevisionOf(wanted: RolloutOrder): RolloutRecord =
         if (epochOf(wanted.revision) > epochOf(order)) copy(order = wanted.revision) else this
 
-    /** Whether [other] is a record of the same roll-out, perhaps of another stage, or from before it followed its order. */
+    /** Whether [other] is a record of the same roll-out, perhaps of another stage, or with the order's revision of another epoch. */
     fun isSameRollout(other: RolloutRecord): Boolean =
-        version == other.version &&
-            startedAtMilliseconds == other.startedAtMilliseconds &&
-            (order == other.order || epochOf(order) != epochOf(other.order))
+        order == other.order ||
+            (version == other.version && startedAtMilliseconds == other.startedAtMilliseconds && epochOf(order) != epochOf(other.order))
 
     /** Whether this record is of a later roll-out of the service than [other], or of a later stage of the same one. */
     fun isAfter(other: RolloutRecord): Boolean = compareValuesBy(this, other, { it.startedAtMilliseconds }, { it.stage }) > 0
--- a/core/src/main/kotlin/org/ragwortlever/core/store/StoreTypes.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/store/StoreTypes.kt
@@ -72,12 +72,17 @@
     val conditions: List<Condition>,
     val writes: List<Write>,
 ) {
-    /** Revisions and leases that the transaction refers to. All are of one epoch of the store, or the transaction has no effect. */
-    val numbers: List<Long>
-        get() = (conditions.map { it.number } + writes.map { it.number }).filter { it != 0L }
+    private val revisions: List<Long> get() = conditions.map { it.revisionOrZero }.filter { it != 0L }
+    private val leases: List<Long> get() = writes.mapNotNull { (it as? Write.Put)?.lease }.filter { it != 0L }
+
+    /** The newest epoch of the store in which a revision was given out that the transaction refers to; 0 if it refers to none. */
+    val newestEpoch: Long get() = revisions.maxOfOrNull(::epochOf) ?: 0
+
+    /** Whether all revisions and leases that the transaction refers to are of [epoch], without which its result means nothing. */
+    fun isOf(epoch: Long): Boolean = revisions.all { epochOf(it) == epoch } && leases.all { isLeaseOf(epoch, it) }
 }
 
-private val Condition.number: Long
+private val Condition.revisionOrZero: Long
     get() =
         when (this) {
             is Condition.Absent -> 0
@@ -85,13 +90,6 @@
             is Condition.CreatedAt -> revision
         }
 
-private val Write.number: Long
-    get() =
-        when (this) {
-            is Write.Put -> lease
-            is Write.Delete -> 0
-        }
-
 /** Result of a transaction that the store answered. */
 sealed interface TransactionResult {
     /** All writes were made at [revision]. */
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageLedger.kt
@@ -35,7 +35,7 @@
  * @property sequence number of counts so far; each part carries the sequence of its last count.
  * @property parts parts by window.
  * @property flushedSequences sequence of each part that the store has, by window.
- * @property storedRevisions store revision of each part's last write, by window; saves a read before the next write.
+ * @property storedRevisions store revision of the entry that holds each part, by window; saves a read before the next write.
  * @property retention time for which flushed parts are kept after the end of their window, in case the store loses them.
  * @property epoch epoch of the store to which the flushed sequences and stored revisions belong.
  */
--- a/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/usage/UsageReporter.kt
@@ -28,9 +28,10 @@
 import kotlin.time.Instant
 
 /**
- * What the reporter under the lease with token [fencing] knew of the windows when that lease ended.
+ * What this process knew of the windows under an earlier lease.
  *
- * @property pending the window that is sealed and perhaps reported, if the reporter had read it.
+ * @property fencing fencing token of that lease, or of the present one if it continues that one.
+ * @property pending the window that is sealed and perhaps reported; null if this process has neither sealed nor read it.
  */
 data class ReporterMemory(
     val fencing: Long,
@@ -41,8 +42,8 @@
 /**
  * State of the reporter in one process; immutable.
  *
- * @property gracePeriod time after the end of a window, and after this node got the lease, in which nodes may flush
- *   counts before the window is closed.
+ * @property gracePeriod time in which nodes may flush counts before a window is closed: after the end of the window, after this
+ *   node got the lease, and after the nodes have had the duration of a lease to learn of a new epoch of the store.
  * @property fencing fencing token of the lease that this state belongs to; 0 without a lease.
  * @property leaseHeldSince when this node got the lease.
  * @property notBefore earliest time of the next call.
@@ -68,7 +69,7 @@
     val knownEpoch: Long = 0,
     val epochSince: Instant = Instant.DISTANT_PAST,
 ) {
-    private val epoch: Long get() = epochOf(fencing)
+    private val leaseEpoch: Long get() = epochOf(fencing)
 
     /** Returns this state after the process has learned that [newest] is the newest epoch of the store. */
     fun inEpoch(
@@ -96,9 +97,9 @@
         )
     }
 
-    /** A cursor of an earlier epoch is no knowledge of this process: the store may have lost later ones. */
+    /** A cursor of an earlier epoch is not remembered: the store may have lost later ones. */
     private fun currentMemory(): ReporterMemory? {
-        val known = cursor?.takeIf { fencing != 0L && it.epoch == epoch } ?: return memory
+        val known = cursor?.takeIf { fencing != 0L && it.epoch == leaseEpoch } ?: return memory
         return ReporterMemory(fencing, known, pending?.takeIf { it.window == known.sealed })
     }
 
@@ -142,7 +143,7 @@
         }
         val fromStore = (answer as? ReporterAnswer.FromStore)?.answer ?: return restartFromCursor(now)
         // The lease ended with its epoch, and what the store shows now may be older than what is known.
-        if (fromStore.revision()?.let { epochOf(it) != epoch } == true) return restartFromCursor(now)
+        if (fromStore.revision()?.let { epochOf(it) != leaseEpoch } == true) return restartFromCursor(now)
         if (stage is ReporterStage.ReadCursor) return afterCursorRead(fromStore, now)
         val next = afterStore(stage, fromStore) ?: return restartFromCursor(now)
         return copy(pending = sealedBy(stage, next) ?: pending).advanceTo(next)
@@ -166,7 +167,7 @@
         val entry = (answer.readSince(fencing) ?: return restartFromCursor(now)).entries.firstOrNull()
         val read = entry?.let { UsageCursor.decode(it.value) }
         val revision = entry?.modifyRevision ?: 0
-        if ((read?.epoch ?: 0) < epoch) return beforeRestore(read, revision)
+        if ((read?.epoch ?: 0) < leaseEpoch) return beforeRestore(read, revision)
         if (read == null) return advanceTo(ReporterStage.StartCursor(UsageWindow.containing(now - windowLength, windowLength)))
         val stage =
             if (read.reported != read.sealed) {
@@ -194,7 +195,7 @@
                 val pending = remembered.pending?.takeIf { it.window == restored.sealed }
                 known.advanceTo(ReporterStage.RestoreCursor(restored, pending, isRemembered = true))
             }
-            read != null && read.epoch == epoch - 1 && read.reported != read.sealed -> {
+            read != null && read.epoch == leaseEpoch - 1 && read.reported != read.sealed -> {
                 known.advanceTo(ReporterStage.ReadSealed(UsageWindow.parse(read.reported, windowLength).next()))
             }
             else -> {
@@ -208,11 +209,11 @@
         remembered: UsageCursor,
         read: UsageCursor?,
     ): UsageCursor {
-        if (read == null) return remembered.copy(epoch = epoch)
-        return UsageCursor(laterOf(remembered.sealed, read.sealed), laterOf(remembered.reported, read.reported), epoch)
+        if (read == null) return remembered.copy(epoch = leaseEpoch)
+        return UsageCursor(laterWindow(remembered.sealed, read.sealed), laterWindow(remembered.reported, read.reported), leaseEpoch)
     }
 
-    private fun laterOf(
+    private fun laterWindow(
         first: String,
         second: String,
     ) = listOf(first, second).maxBy { UsageWindow.parse(it, windowLength).start }
@@ -223,8 +224,8 @@
      */
     private fun cursorAtRestore(read: UsageCursor?): UsageCursor {
         val before = UsageWindow.containing(epochSince - windowLength, windowLength).name
-        val last = if (read == null) before else laterOf(before, read.sealed)
-        return UsageCursor(last, last, epoch)
+        val last = if (read == null) before else laterWindow(before, read.sealed)
+        return UsageCursor(last, last, leaseEpoch)
     }
 
     /** Returns the stage after [answer], or null to restart from the cursor. */
--- a/core/src/test/kotlin/org/ragwortlever/core/fleet/ChangeLogTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/fleet/ChangeLogTest.kt
@@ -3,7 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.ragwortlever.core.store.StoreChange
 import org.ragwortlever.core.store.StoreEntry
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
@@ -53,12 +53,12 @@
     fun `given a relay that has listed a restored store, when a VM of the epoch before asks, then it is told to read everything`() {
         log.reset(10, start)
         log.append(12, listOf(put("a")), start)
-        log.reset(numberInEpoch(1, 5), start)
+        log.reset(revisionInEpoch(1, 5), start)
         val asked = listOf(1L, 5L, 10L, 12L, 30L)
         asked.forEach { expectThat(log.since(it, start).changes).isNull() }
-        log.append(numberInEpoch(1, 11), listOf(put("b")), start)
+        log.append(revisionInEpoch(1, 11), listOf(put("b")), start)
         asked.forEach { expectThat(log.since(it, start).changes).isNull() }
-        expectThat(log.since(numberInEpoch(1, 5), start).changes).isNotNull().get { map { it.key } }.containsExactly("b")
+        expectThat(log.since(revisionInEpoch(1, 5), start).changes).isNotNull().get { map { it.key } }.containsExactly("b")
     }
 
     @Test
@@ -66,8 +66,8 @@
         log.reset(10, start)
         log.append(12, listOf(put("a")), start)
         listOf(1L, 11L, 12L, 30L).forEach {
-            expectThat(log.since(numberInEpoch(1, it), start).ageMilliseconds).isEqualTo(3_600_000)
-            expectThat(log.since(numberInEpoch(1, it), start).changes).isEqualTo(emptyList())
+            expectThat(log.since(revisionInEpoch(1, it), start).ageMilliseconds).isEqualTo(3_600_000)
+            expectThat(log.since(revisionInEpoch(1, it), start).changes).isEqualTo(emptyList())
         }
     }
 
--- a/core/src/test/kotlin/org/ragwortlever/core/rollout/OutcomeCounterTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/rollout/OutcomeCounterTest.kt
@@ -1,7 +1,7 @@
 package org.ragwortlever.core.rollout
 
 import org.junit.jupiter.api.Test
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,12 +19,12 @@
 
     @Test
     fun `given counts, when their roll-out follows its order into a new epoch of the store, then they stay`() {
-        expectThat(answersAfter(record.copy(order = numberInEpoch(1, 3)))).isEqualTo(1)
+        expectThat(answersAfter(record.copy(order = revisionInEpoch(1, 3)))).isEqualTo(1)
     }
 
     @Test
     fun `given counts, when another roll-out begins, then they are dropped`() {
         expectThat(answersAfter(record.copy(order = 9))).isEqualTo(0)
-        expectThat(answersAfter(record.copy(order = numberInEpoch(1, 3), startedAtMilliseconds = 2000))).isEqualTo(0)
+        expectThat(answersAfter(record.copy(order = revisionInEpoch(1, 3), startedAtMilliseconds = 2000))).isEqualTo(0)
     }
 }
--- a/core/src/test/kotlin/org/ragwortlever/core/rollout/RolloutPolicyTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/rollout/RolloutPolicyTest.kt
@@ -1,7 +1,7 @@
 package org.ragwortlever.core.rollout
 
 import org.junit.jupiter.api.Test
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
@@ -120,7 +120,7 @@
 
     @Test
     fun `given a roll-out at any moment, when the store has been restored, then it goes on from where it was`() {
-        val restored = order.copy(revision = numberInEpoch(1, 3))
+        val restored = order.copy(revision = revisionInEpoch(1, 3))
         play { record, _ -> state(record, Verdict.Good, runningOnOld = 1) }.forEach { (time, before) ->
             val next = policy.next(state(before, runningOnOld = 1, order = restored), START + time)
             expectThat(next.order).isEqualTo(restored.revision)
@@ -131,11 +131,11 @@
 
     @Test
     fun `given a roll-out that has followed its order into a new epoch, when the order is written again there, then it begins anew`() {
-        val restored = order.copy(revision = numberInEpoch(1, 3))
+        val restored = order.copy(revision = revisionInEpoch(1, 3))
         val ended = play { record, _ -> state(record, Verdict.Good) }.last().second
         val followed = policy.next(state(ended, order = restored), START + 25.seconds)
         expectThat(followed.stage).isEqualTo(RolloutStage.COMPLETED)
-        val again = policy.next(state(followed, order = restored.copy(revision = numberInEpoch(1, 9))), START + 26.seconds)
+        val again = policy.next(state(followed, order = restored.copy(revision = revisionInEpoch(1, 9))), START + 26.seconds)
         expectThat(again.stage).isEqualTo(RolloutStage.CANARY)
     }
 
--- a/core/src/test/kotlin/org/ragwortlever/core/rollout/VersionShareTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/rollout/VersionShareTest.kt
@@ -1,7 +1,7 @@
 package org.ragwortlever.core.rollout
 
 import org.junit.jupiter.api.Test
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import strikt.api.expectThat
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEmpty
@@ -60,7 +60,7 @@
 
     @Test
     fun `given a roll-out and a restored store, when its order comes in the new epoch, then the shares stay as they are`() {
-        val restored = order.copy(revision = numberInEpoch(1, 3))
+        val restored = order.copy(revision = revisionInEpoch(1, 3))
         RolloutStage.entries.forEach { stage ->
             expectThat(shareOf(record(stage, 0.05), restored)).isEqualTo(shareOf(record(stage, 0.05)))
         }
@@ -68,7 +68,7 @@
 
     @Test
     fun `given a roll-out, when an order differs or is written again in the same epoch, then it is a new one without a share`() {
-        val restored = order.copy(revision = numberInEpoch(1, 3))
+        val restored = order.copy(revision = revisionInEpoch(1, 3))
         listOf(order.copy(revision = 9), restored.copy(version = "v3"), restored.copy(duration = 21.seconds)).forEach {
             expectThat(shareOf(record(RolloutStage.PROMOTED, 1.0), it)).isEqualTo(VersionShare(it.version, 0.0))
         }
--- a/core/src/test/kotlin/org/ragwortlever/core/store/FakeStore.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/store/FakeStore.kt
@@ -35,10 +35,10 @@
                     entry.copy(
                         createRevision = entry.createRevision.inEpoch(next),
                         modifyRevision = entry.modifyRevision.inEpoch(next),
-                        lease = entry.lease.inEpoch(next),
+                        lease = leaseInEpoch(next, leaseInStore(entry.lease)),
                     )
                 },
-            leases = copy.leases.mapKeys { it.key.inEpoch(next) },
+            leases = copy.leases.mapKeys { leaseInEpoch(next, leaseInStore(it.key)) },
             lastLease = copy.lastLease,
             epoch = next,
         )
@@ -53,10 +53,9 @@
         call: StoreCall,
         now: Instant,
     ): Pair<FakeStore, StoreAnswer> {
-        val numbers = call.numbers()
-        if (numbers.any { epochOf(it) != known }) return at(now) to call.answerOfEarlierEpoch(isSent = false)
+        if (!call.isOf(known)) return at(now) to call.answerOfEarlierEpoch(isSent = false)
         val (after, answer) = call(call.inEpoch(epoch), now)
-        return after to if (numbers.isEmpty() || known == epoch) answer else call.answerOfEarlierEpoch(isSent = true)
+        return after to if (call.isOf(epoch)) answer else call.answerOfEarlierEpoch(isSent = true)
     }
 
     private fun answer(
@@ -79,7 +78,7 @@
                 }
             }
             is StoreCall.GrantLease -> {
-                val lease = numberInEpoch(epoch, lastLease + 1)
+                val lease = leaseInEpoch(epoch, lastLease + 1)
                 copy(leases = leases + (lease to (call.duration to now + call.duration)), lastLease = lastLease + 1) to
                     StoreAnswer.LeaseGranted(lease)
             }
@@ -120,14 +119,14 @@
         }
 }
 
-private fun Long.inEpoch(epoch: Long) = numberInEpoch(epoch, numberInStore(this))
+private fun Long.inEpoch(epoch: Long) = revisionInEpoch(epoch, revisionInStore(this))
 
-private fun StoreCall.numbers(): List<Long> =
+private fun StoreCall.isOf(epoch: Long): Boolean =
     when (this) {
-        is StoreCall.Commit -> transaction.numbers
-        is StoreCall.KeepAlive -> listOf(lease)
-        is StoreCall.RevokeLease -> listOf(lease)
-        is StoreCall.Read, is StoreCall.GrantLease -> emptyList()
+        is StoreCall.Commit -> transaction.isOf(epoch)
+        is StoreCall.KeepAlive -> isLeaseOf(epoch, lease)
+        is StoreCall.RevokeLease -> isLeaseOf(epoch, lease)
+        is StoreCall.Read, is StoreCall.GrantLease -> true
     }
 
 private fun StoreCall.answerOfEarlierEpoch(isSent: Boolean): StoreAnswer =
@@ -147,8 +146,8 @@
 /** Returns the call with its numbers as the store takes them in [epoch]. */
 internal fun StoreCall.inEpoch(epoch: Long): StoreCall =
     when (this) {
-        is StoreCall.KeepAlive -> copy(lease = lease.inEpoch(epoch))
-        is StoreCall.RevokeLease -> copy(lease = lease.inEpoch(epoch))
+        is StoreCall.KeepAlive -> copy(lease = leaseInEpoch(epoch, leaseInStore(lease)))
+        is StoreCall.RevokeLease -> copy(lease = leaseInEpoch(epoch, leaseInStore(lease)))
         is StoreCall.Commit -> StoreCall.Commit(transaction.inEpoch(epoch))
         is StoreCall.Read, is StoreCall.GrantLease -> this
     }
@@ -162,5 +161,5 @@
                 is Condition.CreatedAt -> condition.copy(revision = condition.revision.inEpoch(epoch))
             }
         },
-        writes.map { if (it is Write.Put) it.copy(lease = it.lease.inEpoch(epoch)) else it },
+        writes.map { if (it is Write.Put) it.copy(lease = leaseInEpoch(epoch, leaseInStore(it.lease))) else it },
     )
--- a/core/src/test/kotlin/org/ragwortlever/core/usage/UsageReporterRestoreTest.kt
+++ b/core/src/test/kotlin/org/ragwortlever/core/usage/UsageReporterRestoreTest.kt
@@ -6,7 +6,7 @@
 import org.ragwortlever.core.store.StoreCall
 import org.ragwortlever.core.store.Transaction
 import org.ragwortlever.core.store.Write
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -91,7 +91,7 @@
     }
 
     @Test
-    fun `given a window sealed in the copy, when a holder has no memory, then it is only reported if its totals are known to be the same`() {
+    fun `given a window sealed in the copy, when there is no memory, then it is reported only if no other totals can exist`() {
         put(UsageKeys.CURSOR, UsageCursor(name(0), name(-1)).encode())
         val withoutTotals = store
         put(UsageKeys.sealed(name(0)), SealedWindow(name(0), counts(5), emptyMap()).encode())
@@ -139,7 +139,7 @@
         val flushed = counted.markFlushed(flush, end + 59.seconds)
         expectThat(flushed.dueFlushes()).isEmpty()
         val again = flush.copy(storedRevision = 0)
-        val writtenAgain = flush.copy(storedRevision = numberInEpoch(1, 8))
+        val writtenAgain = flush.copy(storedRevision = revisionInEpoch(1, 8))
         expectThat(flushed.inEpoch(1).dueFlushes()).isEqualTo(listOf(again))
         // What the store had before the restore may be lost, and a ledger that does not know of the restore keeps its counts.
         expectThat(flushed.inEpoch(1).markFlushed(flush, end).dueFlushes()).isEqualTo(listOf(again))
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageReporterLog.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageReporterLog.kt
@@ -15,7 +15,7 @@
 
 /** Confined to the reporter's thread. */
 internal class UsageReporterLog {
-    private var newestCursor: UsageCursor? = null
+    private var lastCursor: UsageCursor? = null
 
     /** Logs the outcome of the step from [before] to [after], which processed [answer]. */
     fun record(
@@ -25,11 +25,22 @@
     ) {
         val fromStore = (answer as? ReporterAnswer.FromStore)?.answer ?: return
         when (val stage = before.stage) {
-            is ReporterStage.Seal -> recordSeal(stage.draft, before.fencing, fromStore)
-            is ReporterStage.ReadCursor -> if (fromStore is StoreAnswer.Found) recordCursor(after)
-            is ReporterStage.RestoreCursor -> recordRestore(stage, fromStore)
-            is ReporterStage.ReadSealed -> if (after.stage is ReporterStage.MarkReported) recordLoss(stage.window)
-            else -> Unit
+            is ReporterStage.Seal -> {
+                recordSeal(stage.draft, before.fencing, fromStore)
+            }
+            is ReporterStage.ReadCursor -> {
+                val isAccepted = after.fencing == before.fencing && after.stage !is ReporterStage.ReadCursor
+                if (fromStore is StoreAnswer.Found && isAccepted) recordCursor(after)
+            }
+            is ReporterStage.RestoreCursor -> {
+                recordRestore(stage, fromStore)
+            }
+            is ReporterStage.ReadSealed -> {
+                if (after.stage is ReporterStage.MarkReported) recordLoss(stage.window)
+            }
+            else -> {
+                Unit
+            }
         }
     }
 
@@ -84,19 +95,19 @@
 
     /** The cursor never goes back in a store that keeps what it has acknowledged. */
     private fun recordCursor(after: UsageReporter) {
-        val newest = newestCursor
+        val last = lastCursor
         val read = after.cursor?.takeUnless { after.stage is ReporterStage.StartCursor }
-        if (newest != null && (read == null || Instant.parse(read.sealed) < Instant.parse(newest.sealed))) {
+        if (last != null && (read == null || Instant.parse(read.sealed) < Instant.parse(last.sealed))) {
             logger.warn {
                 eventLine(
                     "usage-cursor-went-back",
                     "sealed" to read?.sealed,
-                    "sealed-before" to newest.sealed,
+                    "sealed-before" to last.sealed,
                     "revision" to after.cursorRevision.takeIf { read != null },
                 )
             }
         }
-        newestCursor = read
+        lastCursor = read
     }
 
     private fun SealedWindow.requests() = totals.values.sumOf { it.requests }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
@@ -132,7 +132,7 @@
         return true
     }
 
-    /** Has the kept counts flushed again if the store has a new epoch, and returns whether it has. */
+    /** Marks all kept counts as not flushed if the store has a new epoch, and returns whether it has. */
     private fun enterEpoch(): Boolean {
         val epoch = store.epoch
         return ledger.getAndUpdate { it.inEpoch(epoch) }.epoch != epoch
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetRestoreTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FleetRestoreTest.kt
@@ -19,7 +19,7 @@
 import org.ragwortlever.core.store.StoreEntry
 import org.ragwortlever.core.store.StoreFailure
 import org.ragwortlever.core.store.StoreRead
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import org.ragwortlever.daemon.platform.ChangeFeed
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -139,34 +139,47 @@
 
     @Test
     fun `given a copy that lacks servers, VMs, a zone and a roll-out, when they are written again, then they were never gone`() {
-        startAndList(numberInEpoch(1, 8))
+        startAndList(revisionInEpoch(1, 8))
         expectThat(next()).isEqualTo(all)
         now += 1.seconds
-        val order = entry("order", "v2", numberInEpoch(1, 10))
+        val order = entry("order", "v2", revisionInEpoch(1, 10))
         val written = listOf(node("two"), entry("server", "s2"), entry("zone", "b"), order).map { StoreChange.Put(it) }
-        changes += Ok(StoreChanges.Since(numberInEpoch(1, 11), written))
+        changes += Ok(StoreChanges.Since(revisionInEpoch(1, 11), written))
         expectThat(next()).isEqualTo(all)
         now += 30.seconds
-        changes += Ok(StoreChanges.Since(numberInEpoch(1, 12), listOf(StoreChange.Put(node("one")))))
+        changes += Ok(StoreChanges.Since(revisionInEpoch(1, 12), listOf(StoreChange.Put(node("one")))))
         expectThat(next()).isEqualTo(all)
     }
 
     @Test
     fun `given a copy that lacks servers, VMs, a zone and a roll-out, when they don't return in time, then they are gone`() {
-        startAndList(numberInEpoch(1, 8))
+        startAndList(revisionInEpoch(1, 8))
         expectThat(next()).isEqualTo(all)
         now += 1.seconds
-        changes += Ok(StoreChanges.Since(numberInEpoch(1, 8), listOf(StoreChange.Put(node("one")))))
+        changes += Ok(StoreChanges.Since(revisionInEpoch(1, 8), listOf(StoreChange.Put(node("one")))))
         expectThat(next()).isEqualTo(all)
         now += 30.seconds
-        changes += Ok(StoreChanges.Since(numberInEpoch(1, 8), emptyList()))
+        changes += Ok(StoreChanges.Since(revisionInEpoch(1, 8), emptyList()))
+        expectThat(next()).isEqualTo(copied)
+    }
+
+    @Test
+    fun `given a second listing soon after a restore, when it lacks the same, then what is known is kept until its time is over`() {
+        startAndList(revisionInEpoch(1, 8))
+        expectThat(next()).isEqualTo(all)
+        now += 1.seconds
+        listings += Ok(StoreRead(revisionInEpoch(1, 9), copy))
+        changes += Ok(StoreChanges.HistoryGone)
+        expectThat(next()).isEqualTo(all)
+        now += 30.seconds
+        changes += Ok(StoreChanges.Since(revisionInEpoch(1, 9), emptyList()))
         expectThat(next()).isEqualTo(copied)
     }
 
     @Test
     fun `given a copy with an earlier stage, when a roll-out was rolled back since, then it stays so until another holder completes it`() {
         listings += Ok(StoreRead(10, listOf(entry("order", "v2", 7), record(RolloutStage.ROLLED_BACK))))
-        listings += Ok(StoreRead(numberInEpoch(1, 8), listOf(entry("order", "v2", numberInEpoch(1, 7)), record(RolloutStage.CANARY))))
+        listings += Ok(StoreRead(revisionInEpoch(1, 8), listOf(entry("order", "v2", revisionInEpoch(1, 7)), record(RolloutStage.CANARY))))
         follower.start()
         expectThat(next().shares).isEqualTo(nothing)
         changes += Ok(StoreChanges.HistoryGone)
@@ -177,7 +190,7 @@
             RolloutStage.COMPLETED to completed,
         ).forEach { (stage, shares) ->
             now += 30.seconds
-            changes += Ok(StoreChanges.Since(numberInEpoch(1, 9), listOf(StoreChange.Put(record(stage, numberInEpoch(1, 7))))))
+            changes += Ok(StoreChanges.Since(revisionInEpoch(1, 9), listOf(StoreChange.Put(record(stage, revisionInEpoch(1, 7))))))
             expectThat(next().shares).isEqualTo(shares)
         }
     }
@@ -185,12 +198,12 @@
     @Test
     fun `given a copy with the order before, when the newer order is written again, then the older one was never in force`() {
         listings += Ok(StoreRead(10, known))
-        listings += Ok(StoreRead(numberInEpoch(1, 5), listOf(entry("order", "v1", numberInEpoch(1, 4)))))
+        listings += Ok(StoreRead(revisionInEpoch(1, 5), listOf(entry("order", "v1", revisionInEpoch(1, 4)))))
         follower.start()
         expectThat(next().shares).isEqualTo(completed)
         changes += Ok(StoreChanges.HistoryGone)
         expectThat(next().shares).isEqualTo(completed)
-        changes += Ok(StoreChanges.Since(numberInEpoch(1, 6), listOf(StoreChange.Put(entry("order", "v2", numberInEpoch(1, 6))))))
+        changes += Ok(StoreChanges.Since(revisionInEpoch(1, 6), listOf(StoreChange.Put(entry("order", "v2", revisionInEpoch(1, 6))))))
         expectThat(next().shares).isEqualTo(completed)
     }
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/NodeRegistrationRestoreTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/NodeRegistrationRestoreTest.kt
@@ -10,7 +10,8 @@
 import org.ragwortlever.core.store.Transaction
 import org.ragwortlever.core.store.TransactionResult
 import org.ragwortlever.core.store.Write
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.leaseInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import org.ragwortlever.daemon.platform.KeyValueStore
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -31,7 +32,7 @@
             it.start()
             expectThat(nextLease()).isEqualTo(1)
             store.restore()
-            expectThat(nextLease()).isEqualTo(numberInEpoch(1, 1))
+            expectThat(nextLease()).isEqualTo(leaseInEpoch(1, 1))
         }
     }
 
@@ -43,7 +44,7 @@
                 store.restore()
             }
             it.start()
-            expectThat(nextLease()).isEqualTo(numberInEpoch(1, 1))
+            expectThat(nextLease()).isEqualTo(leaseInEpoch(1, 1))
         }
     }
 
@@ -68,7 +69,7 @@
 
         @Synchronized
         override fun grantLease(duration: Duration): Result<Long, StoreFailure> =
-            Ok(numberInEpoch(epoch, leases.size + 1L).also(leases::add))
+            Ok(leaseInEpoch(epoch, leases.size + 1L).also(leases::add))
 
         @Synchronized
         override fun keepAlive(lease: Long): Result<Boolean, StoreFailure> = Ok(lease in leases)
@@ -79,7 +80,7 @@
             val lease = transaction.writes.filterIsInstance<Write.Put>().single().lease
             if (lease !in leases) return Ok(TransactionResult.ConditionFailed)
             writtenLeases += lease
-            return Ok(TransactionResult.Committed(numberInEpoch(epoch, 1)))
+            return Ok(TransactionResult.Committed(revisionInEpoch(epoch, 1)))
         }
 
         override fun revokeLease(lease: Long): Result<Unit, StoreFailure> = Ok(Unit)
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
@@ -14,7 +14,7 @@
 import org.ragwortlever.core.rollout.VersionEvidence
 import org.ragwortlever.core.store.Transaction
 import org.ragwortlever.core.store.Write
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import org.ragwortlever.daemon.configuration.MemoryStore
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -149,7 +149,7 @@
     }
 
     private fun restoreOrder() {
-        order = order?.copy(revision = numberInEpoch(1, 3))
+        order = order?.copy(revision = revisionInEpoch(1, 3))
     }
 
     @Test
@@ -162,7 +162,7 @@
         restoreOrder()
         run(role, 22.seconds)
         expectThat(before.stage).isEqualTo(RolloutStage.ROLLED_BACK)
-        expectThat(stored).isEqualTo(before.copy(order = numberInEpoch(1, 3)))
+        expectThat(stored).isEqualTo(before.copy(order = revisionInEpoch(1, 3)))
     }
 
     @Test
@@ -175,7 +175,7 @@
         val known = stored
         val key = FleetKeys.rollout("service")
         listOf(Write.Delete(key), Write.Put(key, canary.encode())).forEachIndexed { index, copy ->
-            val revision = numberInEpoch(index + 1L, 3)
+            val revision = revisionInEpoch(index + 1L, 3)
             order = order?.copy(revision = revision)
             store.commit(Transaction(emptyList(), listOf(copy)))
             view = known
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/ScalingRoleTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/ScalingRoleTest.kt
@@ -10,7 +10,7 @@
 import org.ragwortlever.core.route.RoutingDocument
 import org.ragwortlever.core.route.ScalingRange
 import org.ragwortlever.core.route.ServiceDefinition
-import org.ragwortlever.core.store.numberInEpoch
+import org.ragwortlever.core.store.revisionInEpoch
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
@@ -100,7 +100,7 @@
         runFor(10.seconds)
         val inForce = platform.lastOrders.toMap()
         platform.lastOrders.clear()
-        fencing = numberInEpoch(1, 5)
+        fencing = revisionInEpoch(1, 5)
         role.step()
         expectThat(platform.fencings).containsExactly(1, fencing)
         expectThat(platform.lastOrders.toMap()).isEqualTo(inForce)
@@ -109,7 +109,7 @@
     // Guards against a service that is never scaled again because its completed roll-out seems to be ordered anew.
     @Test
     fun `given a completed roll-out, when its order comes in a new epoch, then the service is still scaled`() {
-        val order = RolloutOrder(SERVICE, "v2", 20.seconds, numberInEpoch(1, 3))
+        val order = RolloutOrder(SERVICE, "v2", 20.seconds, revisionInEpoch(1, 3))
         rolloutOrders = mapOf(SERVICE to order)
         rollouts = mapOf(SERVICE to RolloutRecord(SERVICE, 7, "v2", RolloutStage.COMPLETED, 1.0, 0, 15_000, 20_000, "vm-1"))
         runFor(10.seconds)
