--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/FleetDuties.kt
@@ -65,7 +65,6 @@
             store = store,
             lease = lease,
             now = clock::now,
-            leaseClock = leaseClock::now,
             source = source,
             nextFlush = { nextFlushTime(it, bounds) },
             times =
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/LeaseManager.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/LeaseManager.kt
@@ -10,6 +10,9 @@
 
 /** The lease of an exclusive role, as needed by code that sends under it. */
 interface RoleLease {
+    /** Returns the present time by the clock of the lease, which runs on while the process is suspended. */
+    fun now(): Instant
+
     /** Returns the lease if this node holds it now by its own clock, otherwise null. */
     fun held(): HeldLease?
 
@@ -25,7 +28,7 @@
 internal class LeaseManager(
     claim: LeaseClaim,
     private val store: KeyValueStore,
-    private val now: () -> Instant,
+    private val clock: () -> Instant,
     private val isPreferred: () -> Boolean,
 ) : RoleLease,
     AutoCloseable {
@@ -39,6 +42,8 @@
     private var isKeyDeleted = false
     private val thread = RoleThread("lease ${claim.key}", step = ::step)
 
+    override fun now(): Instant = clock()
+
     override fun held(): HeldLease? = claim.held(now())
 
     override fun isSafeToSend(fencing: Long): Boolean {
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/role/UsageRole.kt
@@ -52,7 +52,6 @@
 /**
  * Counts, flushes and reports usage on two threads.
  *
- * @param leaseClock time of the lease, which may differ from [now] and runs on while the process is suspended.
  * @param source name of this process in the store, unique for each start.
  * @param nextFlush returns the time of the next flush after the given time.
  * @param isOpenWindowFlushed whether windows that have not ended are flushed as well; a large fleet loses little without it.
@@ -62,7 +61,6 @@
     private val store: KeyValueStore,
     private val lease: RoleLease,
     private val now: () -> Instant,
-    private val leaseClock: () -> Instant = now,
     source: String,
     private val nextFlush: (Instant) -> Instant,
     private val times: UsageTimes = UsageTimes(),
@@ -170,7 +168,7 @@
     private fun executeNextReporterCall(): Boolean {
         val held = lease.held()
         reporter = reporter.inEpoch(store.epoch, now()).underLease(held, now())
-        val call = held?.let { reporter.next(it, now(), leaseClock()) } ?: return false
+        val call = held?.let { reporter.next(it, now(), lease.now()) } ?: return false
         val answer = execute(call, held.fencing)
         val before = reporter
         reporter = before.underLease(lease.held(), now()).answered(answer, held.fencing, now())
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/UsageForwarderTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/UsageForwarderTest.kt
@@ -111,6 +111,8 @@
     }
 
     private object NoLease : RoleLease {
+        override fun now(): Instant = Instant.DISTANT_PAST
+
         override fun held(): HeldLease? = null
 
         override fun isSafeToSend(fencing: Long) = false
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/RolloutRoleTest.kt
@@ -39,6 +39,8 @@
     private inner class Lease(
         private val fencing: Long,
     ) : RoleLease {
+        override fun now() = Instant.DISTANT_PAST
+
         override fun held() = HeldLease(LEASE, 1, fencing, Instant.DISTANT_FUTURE, Instant.DISTANT_PAST)
 
         override fun isSafeToSend(fencing: Long) = true
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/ScalingRoleTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/ScalingRoleTest.kt
@@ -36,6 +36,8 @@
         this.fencing = fencing
         val lease =
             object : RoleLease {
+                override fun now() = this@ScalingRoleTest.now
+
                 override fun held() =
                     HeldLease("duties", 1, this@ScalingRoleTest.fencing, Instant.DISTANT_FUTURE, Instant.DISTANT_PAST)
 
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/role/UsageFlushCostTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/role/UsageFlushCostTest.kt
@@ -34,6 +34,8 @@
     }
 
     private object NoLease : RoleLease {
+        override fun now(): Instant = Instant.DISTANT_PAST
+
         override fun held(): HeldLease? = null
 
         override fun isSafeToSend(fencing: Long) = false
