Log which servers are kept without an entry, and which end in a listing

Change: ServerLog compares the catalog with what it was. server-gone says when the VM gives a server up and by what (change, listing, expiry); server-kept and server-back are new, ragwortlever.servers.kept counts. No decision changes.

--- a/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
@@ -27,6 +27,9 @@
     /** All announced servers, including draining ones. */
     val all: Collection<KnownServer> get() = servers.values
 
+    /** Ids of the servers that are kept although their announcements have ended, because of an outage of the store. */
+    val kept: Set<String> get() = missing.toSet()
+
     /** Returns the last announcement of server [id], or null if the server is unknown. */
     fun find(id: String): BackendServer? = servers[id]?.server
 
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.fold
 import io.github.oshai.kotlinlogging.KotlinLogging
-import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.fleet.ChangeLog
 import org.ragwortlever.core.fleet.FleetChange
 import org.ragwortlever.core.fleet.FleetKeys
@@ -62,6 +61,7 @@
  * next change would return immediately every time, because backend servers announce themselves continuously.
  *
  * @param log records the changes read, so that they can be relayed to other entry VMs.
+ * @param sleep waits for the given time, or less if the follower is closed.
  */
 class FleetFollower(
     private val feed: ChangeFeed,
@@ -69,8 +69,10 @@
     private val listener: FleetListener,
     private val now: () -> Instant,
     private val log: ChangeLog = ChangeLog(),
+    private val sleep: (Duration) -> Unit = { runCatching { Thread.sleep(it.inWholeMilliseconds) } },
 ) : AutoCloseable {
     private val view = FleetView()
+    private val serverLog = ServerLog(view.servers)
     private var revision: Long? = null
     private var epoch: Long? = null
     private var unavailableSince: Instant? = null
@@ -90,7 +92,8 @@
         thread?.interrupt()
     }
 
-    private fun pollAndPause() {
+    /** Reads the changes since the last call, or all entries, and waits until the next call is due. Blocks. */
+    internal fun pollAndPause() {
         val pause =
             try {
                 poll()
@@ -100,14 +103,17 @@
                 logger.error { eventLine("fleet-step-failed", "error" to failure) }
                 retry.nextDelay()
             }
-        runCatching { Thread.sleep(pause.inWholeMilliseconds) }
+        sleep(pause)
     }
 
     private fun poll(): Duration {
         val from = revision
         val hasAnswer = if (from == null) readAll() else readChanges(from)
         val expired = view.expire(now())
-        if (expired.isNotEmpty()) listener.onFleetChanged(view, expired)
+        if (expired.isNotEmpty()) {
+            serverLog.logChanges(ServerLogCause.EXPIRY)
+            listener.onFleetChanged(view, expired)
+        }
         if (!hasAnswer) return retry.nextDelay()
         retry.reset()
         return feed.pause
@@ -132,6 +138,7 @@
                     )
                 }
                 records.forEach(::notifyOfCrash)
+                serverLog.logChanges(ServerLogCause.LISTING)
                 listener.onFleetChanged(view, FleetChange.entries.toSet())
                 listener.onKeysListed(read.entries.mapTo(HashSet()) { it.key })
                 true
@@ -172,6 +179,7 @@
         }
         revision = answer.revision
         log.append(answer.revision, answer.changes, now() - feed.age)
+        if (FleetChange.SERVERS in changes) serverLog.logChanges(ServerLogCause.CHANGE)
         if (changes.isNotEmpty()) listener.onFleetChanged(view, changes)
     }
 
@@ -181,32 +189,10 @@
     }
 
     private fun apply(record: FleetRecord): FleetChange? {
-        if (record is FleetRecord.ServerAnnounced) logServerIfChanged(record.server)
-        if (record is FleetRecord.ServerRemoved) logger.info { eventLine("server-gone", "server" to record.id) }
         if (record is FleetRecord.NodeRemoved) logger.info { eventLine("node-gone", "node" to record.name) }
         return view.apply(record, now())
     }
 
-    /** Logs [server] if it is new, has a new incarnation or starts or stops draining; other announcements do not affect routing. */
-    private fun logServerIfChanged(server: BackendServer) {
-        val before = view.servers.find(server.id)
-        if (before != null && before.incarnation == server.incarnation && before.isDraining == server.isDraining) return
-        logger.info {
-            eventLine(
-                "server-announced",
-                "server" to server.id,
-                "service" to server.service,
-                "zone" to server.zone,
-                "address" to server.address,
-                "draining" to server.isDraining,
-                "spot" to server.isSpot,
-                "cold-ms" to server.coldFor.inWholeMilliseconds,
-                "incarnation" to server.incarnation,
-                "sequence" to server.sequence,
-            )
-        }
-    }
-
     /** An entry whose decoding overflows the stack is ignored: the thread has to go on with the others. */
     private fun decode(entry: StoreEntry): FleetRecord? =
         try {
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -37,14 +37,10 @@
 import org.ragwortlever.daemon.gateway.DispatchGateway
 import org.ragwortlever.daemon.gateway.ResponseMemory
 import org.ragwortlever.daemon.gateway.RouteTableSource
-import org.ragwortlever.daemon.gateway.RoutedHeaderNames
 import org.ragwortlever.daemon.gateway.RoutedRequestHandler
 import org.ragwortlever.daemon.gateway.ServerCheck
 import org.ragwortlever.daemon.gateway.ServerClient
 import org.ragwortlever.daemon.limits
-import org.ragwortlever.daemon.platform.ChangeFeed
-import org.ragwortlever.daemon.platform.KeyValueStore
-import org.ragwortlever.daemon.role.DutyPorts
 import org.ragwortlever.daemon.role.FleetDuties
 import org.ragwortlever.daemon.role.FleetState
 import org.ragwortlever.http.HttpListener
@@ -54,33 +50,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** State of an entry VM for endpoints that report it. */
-interface NodeStatus {
-    /** Whether this VM accepts requests: it has a configuration and is not draining. */
-    val isReady: Boolean
-
-    /** Returns at most [limit] entry VMs that [caller] may use. */
-    fun entryVms(
-        caller: String,
-        limit: Int,
-    ): List<NodeRecord>
-}
-
-/**
- * Adapters to the platform.
- *
- * @property duties null if this VM takes no fleet-wide duties.
- * @property listeners creates the HTTP listeners of the platform, in addition to the one for callers.
- */
-class PlatformPorts(
-    val store: KeyValueStore,
-    val feed: ChangeFeed,
-    val decoder: FleetDecoder,
-    val headers: RoutedHeaderNames,
-    val duties: DutyPorts?,
-    val listeners: (FleetSettings, NodeStatus) -> List<HttpListener>,
-)
-
 /**
  * An entry VM that takes its configuration and its backend servers from the platform's store.
  *
@@ -140,6 +109,10 @@
 
     @Volatile
     private var announcedServers: List<BackendServer> = emptyList()
+
+    /** Number of servers in use whose entries have ended. */
+    @Volatile
+    private var keptServers = 0
     private val duties: FleetDuties? =
         ports.duties?.let {
             FleetDuties(
@@ -187,6 +160,7 @@
         Gauge.builder("ragwortlever.requests.open") { inFlight.count }.register(metrics)
         Gauge.builder("ragwortlever.configuration.version") { activeRoutes.table?.document?.version ?: 0 }.register(metrics)
         Gauge.builder("ragwortlever.store.epoch") { ports.store.epoch }.register(metrics)
+        Gauge.builder("ragwortlever.servers.kept") { keptServers }.register(metrics)
         Gauge.builder("ragwortlever.clients.connections") { httpServer.openConnections }.register(metrics)
         Gauge.builder("ragwortlever.clients.bytes") { httpServer.reservedBytes }.register(metrics)
         follower.start()
@@ -337,6 +311,7 @@
             }
             if (FleetChange.SERVERS in changes) {
                 announcedServers = view.servers.all.map { it.server }
+                keptServers = view.servers.kept.size
                 sendableServers.replace(view.servers.usable)
                 gateway.post(DispatchEvent.ServersChanged(view.servers.usable))
             }
