Ask other VMs whose fault a store without answers is

Cause: entries of live servers run out in an outage of the store, so a VM keeps servers whose entries end around one. It took every failed call of its own for such an outage, although the store served all others, and looked at the end of the grace time only after its next poll, up to 1.9 s later.

Change: while it keeps something, the VM asks others whether the store has answered them before and in the gap (StoreGapTracker, StoreContactQuestion); if so, nothing is kept. A first failure is repeated at once, so that a cut of single waiting calls is no outage. What is kept ends by the clock, and a store that does not answer is asked without a wait. Entry VMs that are kept follow the same rule. Sound servers stay usable: LeavingServerTest also plays outages in which entries run out.

--- a/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/ServerCatalog.kt
@@ -80,6 +80,12 @@
     /** Records that the store has come back from an older copy, which may lack announcements of live servers. */
     fun markStoreRestored(now: Instant) = outage.endWithRestore(now)
 
+    /** Records that the store has served others during the last outage; what was kept because of it ends with the next [expire]. */
+    fun dismissOutage() = outage.dismiss()
+
+    /** When [expire] has something to remove; null if nothing is kept. */
+    val nextExpiry: Instant? get() = if (missing.isEmpty()) null else outage.endOf(RETURN_GRACE_PERIOD)
+
     /** Removes servers that did not announce themselves again in time; returns whether any was removed. */
     fun expire(now: Instant): Boolean {
         if (missing.isEmpty() || outage.isRecent(RETURN_GRACE_PERIOD, now)) return false
--- a/core/src/main/kotlin/org/ragwortlever/core/backend/StoreOutage.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/StoreOutage.kt
@@ -11,6 +11,7 @@
 internal class StoreOutage {
     private var isOngoing = false
     private var endedAt = Instant.DISTANT_PAST
+    private var restoredAt = Instant.DISTANT_PAST
 
     /** Records that the store is unavailable. */
     fun begin() {
@@ -27,12 +28,20 @@
     /** Records that the store has come back from an older copy, also if no call has failed meanwhile. */
     fun endWithRestore(now: Instant) {
         isOngoing = false
-        endedAt = now
+        restoredAt = now
+    }
+
+    /** Records that the store has served others during the last outage, so that no entry of a live owner has expired in it. */
+    fun dismiss() {
+        endedAt = Instant.DISTANT_PAST
     }
 
     /** Whether the store is unavailable or has recovered less than [gracePeriod] before [now]. */
     fun isRecent(
         gracePeriod: Duration,
         now: Instant,
-    ): Boolean = isOngoing || now < endedAt + gracePeriod
+    ): Boolean = now < endOf(gracePeriod)
+
+    /** Returns the time from which on [isRecent] is false; in the distant future during an outage. */
+    fun endOf(gracePeriod: Duration): Instant = if (isOngoing) Instant.DISTANT_FUTURE else maxOf(endedAt, restoredAt) + gracePeriod
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -115,6 +115,29 @@
         servers.markStoreAvailable(now)
     }
 
+    /** Whether servers or entry VMs are kept although their entries have ended, because of an outage or a restore of the store. */
+    val hasKept: Boolean get() = servers.kept.isNotEmpty() || lapsed.isNotEmpty()
+
+    /** When [expire] has something to remove; null if nothing is kept. In the distant future during an outage. */
+    val nextExpiry: Instant?
+        get() =
+            listOfNotNull(
+                servers.nextExpiry,
+                lapsed.values.minOrNull()?.let { maxOf(it + NODE_RETURN_GRACE_PERIOD, outage.endOf(NODE_RETURN_GRACE_PERIOD)) },
+                lapsedZones.values.minOrNull()?.let { it + OPERATOR_RETURN_GRACE_PERIOD },
+            ).minOrNull()
+
+    /**
+     * Records that the store has served other VMs while it did not answer this one. What this VM has kept since has really
+     * ended, unless the store has come back from an older copy. Returns what changed.
+     */
+    fun dismissOutage(now: Instant): Set<FleetChange> {
+        outage.dismiss()
+        servers.dismissOutage()
+        if (!outage.isRecent(NODE_RETURN_GRACE_PERIOD, now)) lapsed.replaceAll { _, _ -> Instant.DISTANT_PAST }
+        return expire(now)
+    }
+
     /** Removes what was not written again in time after an outage or a restore of the store; returns what changed. */
     fun expire(now: Instant): Set<FleetChange> {
         val changes = HashSet<FleetChange>()
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -1,6 +1,8 @@
 package org.ragwortlever.daemon.fleet
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.ragwortlever.core.fleet.ChangeLog
 import org.ragwortlever.core.fleet.FleetChange
@@ -61,6 +63,7 @@
  * next change would return immediately every time, because backend servers announce themselves continuously.
  *
  * @param log records the changes read, so that they can be relayed to other entry VMs.
+ * @param gaps tells whether the store or this VM is at fault when the store does not answer.
  * @param sleep waits for the given time, or less if the follower is closed.
  */
 class FleetFollower(
@@ -69,6 +72,7 @@
     private val listener: FleetListener,
     private val now: () -> Instant,
     private val log: ChangeLog = ChangeLog(),
+    private val gaps: StoreGapTracker = StoreGapTracker(now),
     private val sleep: (Duration) -> Unit = { runCatching { Thread.sleep(it.inWholeMilliseconds) } },
 ) : AutoCloseable {
     private val view = FleetView()
@@ -103,29 +107,61 @@
                 logger.error { eventLine("fleet-step-failed", "error" to failure) }
                 retry.nextDelay()
             }
-        sleep(pause)
+        pauseFor(pause)
+    }
+
+    /** Waits for [duration] and meanwhile gives up what is kept as soon as its time is over or the last gap is explained. */
+    private fun pauseFor(duration: Duration) {
+        val end = now() + duration
+        var left = duration
+        do {
+            val step = minOf(left, timeToNextCheck())
+            sleep(step)
+            try {
+                giveUpKept()
+            } catch (failure: RuntimeException) {
+                logger.error { eventLine("fleet-step-failed", "error" to failure) }
+            }
+            left = minOf(left - step, end - now())
+        } while (!isClosed && left > Duration.ZERO)
+    }
+
+    /** At least [MIN_CHECK_INTERVAL], so that a check that changes nothing is not repeated without a pause. */
+    private fun timeToNextCheck(): Duration {
+        val timeToExpiry = view.nextExpiry?.let { (it - now()).coerceAtLeast(MIN_CHECK_INTERVAL) } ?: Duration.INFINITE
+        return if (isQuestionOpen()) minOf(timeToExpiry, QUESTION_INTERVAL) else timeToExpiry
+    }
+
+    private fun isQuestionOpen() = gaps.isUnexplained && view.hasKept
+
+    /** Removes what is kept although its entry has ended, if its time is over or the store was not at fault. */
+    private fun giveUpKept() {
+        val isOwnFault = isQuestionOpen() && gaps.wasOwnFault()
+        if (isOwnFault) logger.info { eventLine("store-served-others", "servers-kept" to view.servers.kept.size) }
+        val expired = if (isOwnFault) view.dismissOutage(now()) else view.expire(now())
+        if (expired.isEmpty()) return
+        serverLog.logChanges(ServerLogCause.EXPIRY)
+        listener.onFleetChanged(view, expired)
     }
 
     private fun poll(): Duration {
         val from = revision
         val hasAnswer = if (from == null) readAll() else readChanges(from)
-        val expired = view.expire(now())
-        if (expired.isNotEmpty()) {
-            serverLog.logChanges(ServerLogCause.EXPIRY)
-            listener.onFleetChanged(view, expired)
-        }
+        giveUpKept()
         if (!hasAnswer) return retry.nextDelay()
         retry.reset()
         return feed.pause
     }
 
     private fun readAll(): Boolean =
-        feed.readPrefix(decoder.prefix).fold(
+        repeatFirstFailure { feed.readPrefix(decoder.prefix) }.fold(
             success = { read ->
                 markStoreAnswered()
                 val records = read.entries.mapNotNull(::decode)
                 val readEpoch = epochOf(read.revision)
-                view.replaceAll(records, now(), isRestored = epoch != null && epoch != readEpoch)
+                val isRestored = epoch != null && epoch != readEpoch
+                if (isRestored) gaps.forget()
+                view.replaceAll(records, now(), isRestored)
                 epoch = readEpoch
                 revision = read.revision
                 log.reset(read.revision, now())
@@ -147,7 +183,7 @@
         )
 
     private fun readChanges(from: Long): Boolean =
-        feed.changes(decoder.prefix, from, CHANGES_WAIT).fold(
+        repeatFirstFailure { feed.changes(decoder.prefix, from, nextWait()) }.fold(
             success = { answer ->
                 markStoreAnswered()
                 when (answer) {
@@ -165,6 +201,23 @@
             failure = ::markStoreFailed,
         )
 
+    /**
+     * Repeats the first [call] that fails at once. The store may cut a single waiting call and serve it when it is repeated,
+     * which is no outage. A call without any answer until its timeout may hide a short outage, so it counts as one.
+     */
+    private fun <T> repeatFirstFailure(call: () -> Result<T, StoreFailure>): Result<T, StoreFailure> {
+        val startedAt = now()
+        val first = call()
+        val failure = first.getError()
+        if (failure == null || unavailableSince != null) return first
+        if (now() - startedAt > MAX_TIME_TO_CUT) markStoreFailed(failure)
+        return call()
+    }
+
+    /** An unavailable store is asked without a wait, so that its return is noticed soon. */
+    private fun nextWait(): Duration =
+        if (unavailableSince != null) Duration.ZERO else minOf(CHANGES_WAIT, timeToNextCheck())
+
     private fun apply(answer: StoreChanges.Since) {
         val changes = HashSet<FleetChange>()
         answer.changes.forEach { change ->
@@ -203,6 +256,7 @@
         }
 
     private fun markStoreAnswered() {
+        gaps.recordAnswer(feed.age)
         val since = unavailableSince ?: return
         logger.info { eventLine("store-regained", "lost-ms" to (now() - since).inWholeMilliseconds) }
         unavailableSince = null
@@ -210,6 +264,7 @@
     }
 
     private fun markStoreFailed(failure: StoreFailure): Boolean {
+        gaps.recordFailure()
         if (unavailableSince == null) {
             unavailableSince = now()
             logger.warn { eventLine("store-lost", "failure" to failure) }
@@ -227,5 +282,12 @@
 
         // Longest wait for a first change in one poll; shorter than the timeout of the call.
         val CHANGES_WAIT = 1.seconds
+
+        // A call that waits longer has reached its timeout.
+        val MAX_TIME_TO_CUT = 1.2.seconds
+
+        // Other VMs have an answer of the store within two seconds, so a few questions are enough.
+        val QUESTION_INTERVAL = 300.milliseconds
+        val MIN_CHECK_INTERVAL = 10.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetNode.kt
@@ -85,7 +85,10 @@
     private val serverCheck = ServerCheck()
     private val gateway = DispatchGateway(controlLoop, dispatcher, clock, poolDeciderClient, serverCheck)
     private val serverClient = ServerClient(ports.headers)
-    private val follower = FleetFollower(feed, ports.decoder, FleetUpdateListener(), clock::now, changeLog)
+    private val suspendAwareClock = SuspendAwareClock()
+    private val contactQuestion = StoreContactQuestion(settings.nodeId, peers, ::otherVms, suspendAwareClock::now)
+    private val storeGaps = StoreGapTracker(suspendAwareClock::now, contactQuestion::wasServed)
+    private val follower = FleetFollower(feed, ports.decoder, FleetUpdateListener(), clock::now, changeLog, storeGaps)
 
     private val sendableServers = SendableServers()
     private val rolloutTraffic =
@@ -121,7 +124,7 @@
                 store = ports.store,
                 ports = it,
                 clock = clock,
-                leaseClock = SuspendAwareClock(),
+                leaseClock = suspendAwareClock,
                 fleet = ::fleetState,
                 nodeCount = { nodes.size },
                 handOver = { flush -> usageForwarder.forward(flush) },
@@ -278,6 +281,7 @@
     private fun peerEndpoints() =
         listOf(
             peerEndpoint(Relay.ROUTE, relay::handle),
+            peerEndpoint(StoreContactQuestion.ROUTE) { storeGaps.report() },
             peerEndpoint(UsageForwarder.ROUTE, usageForwarder::writeForwarded),
             peerEndpoint(PoolDeciderClient.QUESTION_ROUTE, gateway::answer),
             peerEndpoint(RolloutReporter.ROUTE, ::receiveEvidence),
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FollowedStore.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/FollowedStore.kt
@@ -13,6 +13,7 @@
 import org.ragwortlever.core.store.StoreChanges
 import org.ragwortlever.core.store.StoreEntry
 import org.ragwortlever.core.store.StoreFailure
+import org.ragwortlever.core.store.StoreGap
 import org.ragwortlever.core.store.StoreRead
 import org.ragwortlever.daemon.platform.ChangeFeed
 import kotlin.time.Duration
@@ -45,7 +46,7 @@
 internal class FollowedStore(
     private val writes: List<EntryWrite>,
     private val disruptions: List<Disruption>,
-    start: Instant,
+    private val start: Instant,
 ) : ChangeFeed {
     var now: Instant = start
 
@@ -78,6 +79,12 @@
         return Ok(StoreChanges.Since(revisionAt(now), changes))
     }
 
+    /** Whether another VM, which asks now and then, has had answers before [gap] and since its first failed call. */
+    fun hasServedOthers(gap: StoreGap): Boolean {
+        val sinceLastAnswer = ((now - start).inWholeMilliseconds % OTHERS_INTERVAL.inWholeMilliseconds).milliseconds
+        return now - sinceLastAnswer >= gap.failedAt && disruptions.none { it.isStoreWide && it.to > gap.lastAnswerAt && it.from <= now }
+    }
+
     private fun fail(
         disruption: Disruption,
         wait: Duration,
@@ -95,6 +102,9 @@
 
     private companion object {
         val CALL_TIMEOUT = 1.5.seconds
+
+        // A VM's longest time between two answers while nothing changes.
+        val OTHERS_INTERVAL = 1900.milliseconds
     }
 }
 
