Keep what is known of a server that leaves when an older announcement comes

Cause: the catalog took the last announcement for the newest. A write that the store executes late, an entry without its start time, or the listing of an older copy made a draining server usable again; with its entry a server was forgotten, and so was what it had said.

Change: an announcement is replaced only by what supersedes it: a later process, for one process draining before ready, else the higher sequence number, by whatever way it comes. The last announcements of servers whose entries have ended are remembered. After a restore of the store, a server that had ended has to say something new for as long as the copy can have its entry.

--- a/core/src/main/kotlin/org/ragwortlever/core/backend/StoreOutage.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/backend/StoreOutage.kt
@@ -42,6 +42,12 @@
         now: Instant,
     ): Boolean = now < endOf(gracePeriod)
 
+    /** Whether the store has come back from an older copy less than [period] before [now]. */
+    fun isRestoreRecent(
+        period: Duration,
+        now: Instant,
+    ): Boolean = now < restoredAt + period
+
     /** Returns the time from which on [isRecent] is false; in the distant future during an outage. */
     fun endOf(gracePeriod: Duration): Instant = if (isOngoing) Instant.DISTANT_FUTURE else maxOf(endedAt, restoredAt) + gracePeriod
 }
--- a/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
+++ b/core/src/main/kotlin/org/ragwortlever/core/fleet/FleetView.kt
@@ -50,7 +50,7 @@
         now: Instant,
     ): FleetChange? {
         when (record) {
-            is FleetRecord.ServerAnnounced -> servers.put(record.server, now)
+            is FleetRecord.ServerAnnounced -> if (!servers.put(record.server, now)) return null
             is FleetRecord.ServerRemoved -> servers.remove(record.id, now)
             is FleetRecord.ConfigurationChanged -> return configure(record.document)
             is FleetRecord.ZoneTakenOut -> takeOut(record.zone)
--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/FleetFollower.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getError
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.ragwortlever.core.backend.BackendServer
 import org.ragwortlever.core.fleet.ChangeLog
 import org.ragwortlever.core.fleet.FleetChange
 import org.ragwortlever.core.fleet.FleetKeys
@@ -243,9 +244,22 @@
 
     private fun apply(record: FleetRecord): FleetChange? {
         if (record is FleetRecord.NodeRemoved) logger.info { eventLine("node-gone", "node" to record.name) }
-        return view.apply(record, now())
+        val change = view.apply(record, now())
+        if (record is FleetRecord.ServerAnnounced && change == null) logOutdated(record.server)
+        return change
     }
 
+    private fun logOutdated(server: BackendServer) =
+        logger.info {
+            eventLine(
+                "announcement-outdated",
+                "server" to server.id,
+                "incarnation" to server.incarnation,
+                "sequence" to server.sequence,
+                "draining" to server.isDraining,
+            )
+        }
+
     /** An entry whose decoding overflows the stack is ignored: the thread has to go on with the others. */
     private fun decode(entry: StoreEntry): FleetRecord? =
         try {
