Believe a server that leaves also in an answer that is malformed

Cause: the notice of an answer was dropped when the answer could not be passed on because it had no signature or a content coding, so the server got the next requests although it had said that it leaves.

Change: that the server shuts down is taken from its own answer, whether it can be passed on or not. Answers that belong to another request stay unread.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/gateway/ServerClient.kt
@@ -183,9 +183,9 @@
             answers == null && !isFirstOnConnection -> foreignResponse("the response has no request id, on a reused connection")
             isMisdirected -> refusal(ServerFailure.REPLACED, "another server uses the address", notice = null)
             response.header(headerNames.notRun) != null -> refusal(ServerFailure.BUSY, "status ${response.code}", readNotice(response))
-            response.header("Content-Encoding") != null -> malformedResponse("the response has a Content-Encoding")
+            response.header("Content-Encoding") != null -> malformedResponse("the response has a Content-Encoding", response)
             !response.isSuccessful -> null
-            response.header(headerNames.signature) == null -> malformedResponse("the response is not signed")
+            response.header(headerNames.signature) == null -> malformedResponse("the response is not signed", response)
             answers == null -> foreignResponse("the response has no request id")
             else -> null
         }
@@ -200,11 +200,20 @@
     private fun foreignResponse(detail: String) =
         AttemptStart.Ended(AttemptEnd.Failed(ServerFailure.ERROR), AnswerEnd.Foreign, detail)
 
-    private fun malformedResponse(detail: String) =
-        AttemptStart.Ended(AttemptEnd.Failed(ServerFailure.ERROR), AnswerEnd.Malformed, detail)
+    /** The server's own response, unusable as an answer; that the server shuts down holds nevertheless. */
+    private fun malformedResponse(
+        detail: String,
+        response: Response,
+    ) = AttemptStart.Ended(
+        AttemptEnd.Failed(ServerFailure.ERROR),
+        AnswerEnd.Malformed,
+        detail,
+        ServerNotice(isLeaving = true).takeIf { isLeaving(response) },
+    )
+
+    private fun isLeaving(response: Response): Boolean = response.header(headerNames.leaving)?.trim() == "1"
 
     private fun readNotice(response: Response): ServerNotice? {
-        val isLeaving = response.header(headerNames.leaving)?.trim() == "1"
         val retryAfter = response.header("Retry-After").takeIf { response.code == UNAVAILABLE_STATUS }
         val quietFor = retryAfter?.let(::parseRetryAfter)
         if (retryAfter != null &&
@@ -213,7 +222,7 @@
             logger.warn { eventLine("retry-after-unreadable", "value" to retryAfter.take(MAX_LOGGED_CHARACTERS)) }
         }
         val limit = response.header(headerNames.requestLimit)?.let(::parseRequestLimit)
-        return ServerNotice(isLeaving, quietFor?.takeIf { it > Duration.ZERO }, limit).takeIf { it != ServerNotice() }
+        return ServerNotice(isLeaving(response), quietFor?.takeIf { it > Duration.ZERO }, limit).takeIf { it != ServerNotice() }
     }
 
     /** Removes `Retry-After: 0` from a 503. OkHttp would retry by itself, but retries are the dispatcher's decision. */
