Count the age of another VM's answer from before the question

Cause: whether another VM has had an answer since the store failed to answer this one was judged by the age of its answer, counted back from the arrival of its reply. An answer from a few milliseconds before the failure could count as one after it, so that the beginning of an outage was missed.

The test now delays each reply by 20 ms; so changed it was not run on that code.

Change: the age counts from before the question, and its rounding is allowed for.

--- a/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RelayedChangeFeed.kt
+++ b/daemon/src/main/kotlin/org/ragwortlever/daemon/fleet/RelayedChangeFeed.kt
@@ -130,9 +130,11 @@
         wait: Duration,
     ): StoreChanges? {
         val substitute = selectSubstitute(self, nodes(), excludedRelays.keys) ?: return null
+        val askedAt = now()
         // Without the load, which this VM registers itself.
         val answer = ask(substitute, revision, wait, emptyMap()) ?: return null
-        val confirmedAt = now() - answer.ageMilliseconds.milliseconds
+        // The earliest time possible: the age is rounded down and counts from after the question.
+        val confirmedAt = askedAt - answer.ageMilliseconds.milliseconds - 1.milliseconds
         val hasServedSince = storeFailedAt?.let { confirmedAt > it } ?: false
         val isRecent = answer.ageMilliseconds.milliseconds <= MAX_SUBSTITUTE_AGE
         return if (hasServedSince && isRecent && answer.changes != null) accept(substitute, answer) else null
--- a/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/RelayedChangeFeedTest.kt
+++ b/daemon/src/test/kotlin/org/ragwortlever/daemon/fleet/RelayedChangeFeedTest.kt
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.Test
 import org.ragwortlever.core.fleet.ChangeLog
 import org.ragwortlever.core.fleet.NodeRecord
+import org.ragwortlever.core.fleet.RelayRequest
+import org.ragwortlever.core.fleet.RelayResponse
 import org.ragwortlever.core.store.StoreChange
 import org.ragwortlever.core.store.StoreChanges
 import org.ragwortlever.core.store.StoreFailure
@@ -34,7 +36,7 @@
     private val log = ChangeLog().apply { reset(1, now()) }
     private val other =
         UndertowListeners(
-            listOf(HttpListener("127.0.0.1", 0, peerHandler(listOf(peerEndpoint(Relay.ROUTE, Relay(log, ::now)::handle))))),
+            listOf(HttpListener("127.0.0.1", 0, peerHandler(listOf(peerEndpoint(Relay.ROUTE, ::handleSlowly))))),
             HttpLimits(),
         )
     private val nodes =
@@ -66,6 +68,8 @@
 
     private fun now(): Instant = Clock.System.now() + passed
 
+    private fun handleSlowly(request: RelayRequest): RelayResponse = Relay(log, ::now).handle(request).also { Thread.sleep(ANSWER_DELAY) }
+
     private fun node(
         name: String,
         peers: String,
@@ -103,6 +107,7 @@
     // Entries expire in an outage, so a VM must not miss one because another had an answer shortly before it.
     @Test
     fun `given an outage of the store, when the other VM has had no answer since it began, then the outage is seen`() {
+        log.reset(1, now())
         repeat(3) {
             expectThat(changes()).isNull()
             expectThat(feed.pause).isEqualTo(store.pause)
@@ -124,4 +129,9 @@
         log.reset(5, now())
         expectThat(changes()).isNull()
     }
+
+    private companion object {
+        // Makes the age of an answer that is counted from its arrival too low.
+        const val ANSWER_DELAY = 20L
+    }
 }
